--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,901 @@
+//! The decision module. `Brain::new` is called once with the startup facts, `Brain::decide` for each batch
+//! that holds events of this instance; it gives back the orders to carry out, in order. All types that go
+//! in and out are in `crate::interface`. Inside, each server is an actor; the registry, the servers, the
+//! fleet, the slices and the channel talk only by notes put into inboxes, which `decide` empties.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::interface::*;
+use crate::notes::*;
+
+#[cfg(test)]
+mod tests;
+
+const SECOND: Nanos = 1_000_000_000;
+
+// The design page's own figures.
+/// A server's score is its mean over this long.
+const SCORE_MEMORY: Nanos = 5 * SECOND;
+/// One minus the score below this: red.
+const CRITICAL_GOODNESS: f64 = 0.3;
+/// One minus the score above this: green.
+const GOOD_GOODNESS: f64 = 0.7;
+/// Error share, over the fleet's own, at which the error score is 1.
+const CRITICAL_ERROR: f64 = 0.5;
+/// Answer time, as a multiple of the fleet's median, at which the time score is 1.
+const CRITICAL_TIME: f64 = 3.0;
+/// Past an edge for this long before a band changes.
+const DWELL: Nanos = 3 * SECOND;
+/// A withdrawn server stays out this long the first time.
+const FIRST_TERM: Nanos = 10 * SECOND;
+/// Part of its weight with which a server returns.
+const RETURN_LEVEL: f64 = 0.1;
+/// A weight moves only by more than this part of what was told.
+const WEIGHT_STEP: f64 = 0.1;
+/// At most this part of the ready servers is withdrawn for their health.
+const WITHDRAWN_PART: f64 = 1.0 / 3.0;
+/// Ordinary changes leave at most this often.
+const BATCH_GAP: Nanos = SECOND;
+
+/// Tries that a server is credited with beforehand: a few bad ones of a heavy tail are no evidence.
+const CREDIT: f64 = 2.0;
+/// Answers that other servers' reports led us to expect, none of which came: silence (chance: e^-7).
+const SILENCE: f64 = 7.0;
+/// Answer times are learned over this many score memories, since a capacity changes slower than health.
+const LEARNING: Nanos = 2 * SCORE_MEMORY;
+/// The learned factor on a listed weight stays within this and its inverse.
+const FACTOR_BOUND: f64 = 3.0;
+/// Cold servers get this part of what the slowest way of warming up would let them do.
+const COLD_CAUTION: f64 = 0.7;
+/// Fleet-wide share of lost tries above which further tries feed the trouble, and below which they return.
+const FURTHER_CUT: f64 = 0.2;
+const FURTHER_BACK: f64 = 0.1;
+/// Part of the channel's room that ordinary changes and joins may fill; the rest is for withdrawals.
+const ORDINARY_ROOM: f64 = 0.5;
+const JOIN_ROOM: f64 = 0.8;
+
+const BEAT: u64 = 1;
+const LISTEN_AGAIN: u64 = 2;
+
+/// Follows the list, and asks for it where it must be asked.
+#[derive(Debug)]
+struct Registry {
+    asks: bool,
+    patience: Nanos,
+    listed: BTreeSet<ServerId>,
+    failures: u32,
+    chance: oorandom::Rand64,
+}
+
+impl Registry {
+    fn take(&mut self, note: Note, post: &mut Post) {
+        match note {
+            Note::Roster(RosterNews::Failed) => {
+                // Guards against a crowd of calls at a list service that is already late; the wait doubles
+                // and is spread by chance, and never leaves the time after which we are deemed told.
+                let wait = (self.patience >> 4 << self.failures.min(4)) as f64;
+                self.failures += 1;
+                let span = (wait * (0.5 + 0.5 * self.chance.rand_float())) as Nanos;
+                post.orders.push(Order::Remind { span, ctx: LISTEN_AGAIN });
+            }
+            Note::Roster(RosterNews::Delta(rows)) => self.follow(rows, post),
+            Note::Roster(RosterNews::Full(rows) | RosterNews::Cached(rows)) => {
+                let present: BTreeSet<ServerId> = rows.iter().map(|row| row.server).collect();
+                for &server in self.listed.difference(&present) {
+                    post.put(Part::Server(server), Note::Delisted);
+                }
+                self.listed = present;
+                self.follow(rows, post);
+            }
+            Note::ListenAgain if self.asks => post.orders.push(Order::Listen { on: true }),
+            _ => {}
+        }
+    }
+
+    fn follow(&mut self, rows: Vec<RosterRow>, post: &mut Post) {
+        self.failures = 0;
+        for mut row in rows {
+            if !(row.weight.is_finite() && row.weight > 0.0) {
+                row.weight = 1.0;
+            }
+            self.listed.insert(row.server);
+            post.put(Part::Server(row.server), Note::Listed(row));
+        }
+    }
+}
+
+/// Figures by which a server judges itself.
+#[derive(Clone, Copy, Debug)]
+struct Judging {
+    cold_from: f64,
+    cold_for: Nanos,
+    /// From an order until reports show what it did, at the longest.
+    echo: Nanos,
+    sizes_told: bool,
+    gone_does_not_bind: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Band {
+    Green,
+    Yellow,
+    Red,
+}
+
+/// One server as this instance's proxies meet it.
+#[derive(Debug)]
+struct Server {
+    row: RosterRow,
+    tries: Fading,
+    lost: Fading,
+    answered: Fading,
+    time: Fading,
+    /// Its share of the weight as proxies have felt it: what was told, late.
+    felt_share: f64,
+    /// Answers expected of it since its last one.
+    unanswered: f64,
+    level: f64,
+    clean: bool,
+    band: Band,
+    edge: Option<Nanos>,
+    out_since: Option<Nanos>,
+    fault: Option<Fault>,
+    term: Nanos,
+    since: Nanos,
+    weighed: Nanos,
+}
+
+impl Server {
+    fn new(row: RosterRow, now: Nanos) -> Self {
+        Server {
+            row,
+            tries: Fading::default(),
+            lost: Fading::default(),
+            answered: Fading::default(),
+            time: Fading::default(),
+            felt_share: 0.0,
+            unanswered: 0.0,
+            level: 1.0,
+            clean: true,
+            band: Band::Green,
+            edge: None,
+            out_since: None,
+            fault: None,
+            term: FIRST_TERM,
+            since: now,
+            weighed: now,
+        }
+    }
+
+    fn take(&mut self, note: Note, judging: &Judging, post: &mut Post) {
+        let now = post.now;
+        match note {
+            Note::Listed(row) => {
+                let started = row.ready_at > self.row.ready_at
+                    || (row.readiness == Readiness::Ready && self.row.readiness != Readiness::Ready);
+                if started {
+                    *self = Server::new(row, now);
+                }
+                self.row = row;
+            }
+            Note::Delisted => self.row.readiness = Readiness::Gone,
+            Note::Digest(digest) => self.hear(&digest, now, post),
+            Note::Weigh(picture) => {
+                let standing = self.weigh(picture, judging, now);
+                post.put(Part::Fleet, Note::Standing(standing));
+            }
+            Note::Held(out) => self.held(out, now, post),
+            _ => {}
+        }
+    }
+
+    fn hear(&mut self, digest: &Digest, now: Nanos, post: &mut Post) {
+        let (tries, lost) = (f64::from(digest.tries), f64::from(digest.lost.min(digest.tries)));
+        let answered = tries - lost;
+        self.tries.add(now, SCORE_MEMORY, tries);
+        self.lost.add(now, SCORE_MEMORY, lost);
+        let mut time = 0.0;
+        if answered > 0.0 && digest.answer_time > 0 {
+            time = digest.answer_time as f64 * answered;
+            self.answered.add(now, LEARNING, answered);
+            self.time.add(now, LEARNING, time);
+        }
+        if answered > 0.0 {
+            self.unanswered = -1.0;
+        }
+        self.clean = answered > lost;
+        post.put(Part::Fleet, Note::Met { tries, lost, time });
+    }
+
+    /// Mean answer time, drawn towards the fleet's by a few tries' worth of credit.
+    fn answer_time(&mut self, now: Nanos, median: f64) -> Option<f64> {
+        let answered = self.answered.read(now, LEARNING);
+        let credit = if median > 0.0 { 2.0 * CREDIT } else { 0.0 };
+        (answered > 1.0).then(|| (self.time.read(now, LEARNING) + credit * median) / (answered + credit))
+    }
+
+    fn warm_part(&self, judging: &Judging, now: Nanos) -> f64 {
+        let age = now.saturating_sub(self.row.ready_at);
+        if self.row.ready_at == 0 || age >= judging.cold_for {
+            return 1.0;
+        }
+        judging.cold_from + (1.0 - judging.cold_from) * age as f64 / judging.cold_for as f64
+    }
+
+    fn weigh(&mut self, picture: Picture, judging: &Judging, now: Nanos) -> Standing {
+        let elapsed = now.saturating_sub(self.weighed);
+        self.weighed = now;
+        let felt = 1.0 - (-(elapsed as f64) / judging.echo as f64).exp();
+        self.felt_share += (picture.share - self.felt_share) * felt;
+        // Guards against servers that take invocations and answer none, long before their time-outs are
+        // reported; also against dead machines and cut links. It could harm where reports lack lines for
+        // other reasons, so only reports that tell of other servers' answers count.
+        if self.unanswered < 0.0 {
+            self.unanswered = 0.0;
+        } else if now.saturating_sub(self.since) > judging.echo {
+            self.unanswered += picture.answered * self.felt_share;
+        }
+        let error = self.lost.read(now, SCORE_MEMORY) / (self.tries.read(now, SCORE_MEMORY) + CREDIT);
+        let time = self.answer_time(now, picture.median_time);
+        let error_score = ((error - picture.common_error) / CRITICAL_ERROR).clamp(0.0, 1.0);
+        let time_score = match time {
+            Some(time) if picture.median_time > 0.0 => {
+                ((time / picture.median_time - 1.0) / (CRITICAL_TIME - 1.0)).clamp(0.0, 1.0)
+            }
+            _ => 0.0,
+        };
+        let goodness = 1.0 - (error_score + time_score) / 2.0;
+        let fault = if self.unanswered > SILENCE {
+            Some(Fault::Silence)
+        } else if error_score >= 1.0 {
+            Some(Fault::Errors)
+        } else {
+            self.settle_band(goodness, now);
+            (self.band == Band::Red).then_some(Fault::Score)
+        };
+        if self.out_since.is_none() {
+            self.fault = fault;
+        }
+        if let Some(since) = self.out_since {
+            let answers = self.unanswered <= 0.0 && self.fault == Some(Fault::Silence);
+            if now.saturating_sub(since) >= self.term || answers {
+                self.come_back(now);
+            }
+        } else if fault.is_none() && self.clean {
+            self.level = (self.level + elapsed as f64 / SCORE_MEMORY as f64).min(1.0);
+        }
+        let band = match self.band {
+            Band::Green => 1.0,
+            _ => ((goodness - CRITICAL_GOODNESS) / (GOOD_GOODNESS - CRITICAL_GOODNESS))
+                .clamp(RETURN_LEVEL, 1.0),
+        };
+        let warm_part = self.warm_part(judging, now);
+        let caution = if warm_part < 1.0 { COLD_CAUTION * warm_part } else { 1.0 };
+        let listed = if judging.sizes_told { self.row.weight } else { 1.0 };
+        Standing {
+            row: self.row,
+            warm: warm_part >= 1.0,
+            out: self.out_since.is_some(),
+            fault: self.fault,
+            severity: error_score + time_score + self.unanswered / SILENCE,
+            weight: listed * self.factor(time, picture.median_time) * band * self.level.min(caution),
+            time: time.filter(|_| self.out_since.is_none()),
+            error,
+        }
+    }
+
+    /// What the list does not tell of its capacity, learned from answer times and bounded.
+    fn factor(&self, time: Option<f64>, median: f64) -> f64 {
+        match time {
+            Some(time) if median > 0.0 => (median / time).clamp(1.0 / FACTOR_BOUND, FACTOR_BOUND),
+            _ => 1.0,
+        }
+    }
+
+    fn settle_band(&mut self, goodness: f64, now: Nanos) {
+        let next = match goodness {
+            g if g < CRITICAL_GOODNESS => Band::Red,
+            g if g > GOOD_GOODNESS => Band::Green,
+            _ => Band::Yellow,
+        };
+        if next == self.band {
+            self.edge = None;
+        } else if now.saturating_sub(*self.edge.get_or_insert(now)) >= DWELL {
+            self.band = next;
+            self.edge = None;
+        }
+    }
+
+    fn held(&mut self, out: bool, now: Nanos, post: &mut Post) {
+        if out && self.out_since.is_none() {
+            let fault = self.fault.unwrap_or(Fault::Score);
+            self.out_since = Some(now);
+            post.remark(format!("server {} withdrawn: {fault:?}", self.row.server));
+        }
+    }
+
+    /// Back at a tenth; a server that fails again soon stays out twice as long.
+    fn come_back(&mut self, now: Nanos) {
+        let term = (2 * self.term).min(4 * FIRST_TERM);
+        *self = Server { level: RETURN_LEVEL, clean: false, term, ..Server::new(self.row, now) };
+    }
+}
+
+/// Compares the servers and grants withdrawals.
+#[derive(Debug)]
+struct Fleet {
+    standings: BTreeMap<ServerId, Standing>,
+    awaited: usize,
+    answered: f64,
+    tries: Fading,
+    lost: Fading,
+    told: BTreeMap<ServerId, f64>,
+    by_locality: bool,
+    gates: Vec<Gate>,
+    idempotent: Vec<bool>,
+    further_cut: bool,
+}
+
+impl Fleet {
+    fn take(&mut self, note: Note, ids: &[ServerId], post: &mut Post) {
+        match note {
+            Note::Met { tries, lost, .. } => {
+                self.answered += tries - lost;
+                self.tries.add(post.now, SCORE_MEMORY, tries);
+                self.lost.add(post.now, SCORE_MEMORY, lost);
+            }
+            Note::Beat => self.ask_all(ids, post),
+            Note::Standing(standing) => {
+                self.standings.insert(standing.row.server, standing);
+                self.awaited = self.awaited.saturating_sub(1);
+                if self.awaited == 0 {
+                    self.conclude(post);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn ask_all(&mut self, ids: &[ServerId], post: &mut Post) {
+        let ready = || self.standings.values().filter(|s| s.row.readiness == Readiness::Ready);
+        let total: f64 = self.told.values().sum();
+        let picture = Picture {
+            median_time: median(ready().filter_map(|s| s.time).collect()),
+            common_error: median(ready().map(|s| s.error).collect()),
+            answered: std::mem::take(&mut self.answered),
+            share: 0.0,
+        };
+        self.awaited = ids.len();
+        for &id in ids {
+            let share = self.told.get(&id).map_or(0.0, |weight| weight / total.max(f64::MIN_POSITIVE));
+            post.put(Part::Server(id), Note::Weigh(Picture { share, ..picture }));
+        }
+        if ids.is_empty() {
+            self.conclude(post);
+        }
+    }
+
+    /// Grants withdrawals, worst first, up to a third of the ready servers, and never the last warm one that
+    /// proxies could pick: what a shared cause does to all must not empty the tables.
+    fn granted(&self) -> BTreeSet<ServerId> {
+        let ready: Vec<&Standing> =
+            self.standings.values().filter(|s| s.row.readiness == Readiness::Ready).collect();
+        let mut suspects: Vec<&&Standing> = ready.iter().filter(|s| s.fault.is_some() || s.out).collect();
+        suspects.sort_by(|a, b| {
+            b.out.cmp(&a.out).then(b.severity.total_cmp(&a.severity)).then(a.row.server.cmp(&b.row.server))
+        });
+        let allowed = (ready.len() as f64 * WITHDRAWN_PART) as usize;
+        let mut out = BTreeSet::new();
+        for suspect in suspects {
+            let place = |s: &Standing| !self.by_locality || s.row.locality == suspect.row.locality;
+            let others = ready.iter().filter(|s| {
+                s.warm && place(s) && s.row.server != suspect.row.server && !out.contains(&s.row.server)
+            });
+            if out.len() < allowed && others.count() > 0 {
+                out.insert(suspect.row.server);
+            }
+        }
+        out
+    }
+
+    fn conclude(&mut self, post: &mut Post) {
+        let out = self.granted();
+        self.told.clear();
+        for (&id, standing) in &self.standings {
+            let ready = standing.row.readiness == Readiness::Ready;
+            let held = out.contains(&id);
+            post.put(Part::Server(id), Note::Held(held));
+            // A fault that may not be withdrawn keeps the least weight instead.
+            let damped = if standing.fault.is_some() && !held { RETURN_LEVEL } else { 1.0 };
+            let weight = if ready { standing.weight * damped } else { 0.0 };
+            if ready && !held {
+                self.told.insert(id, weight);
+            }
+            let want = Want {
+                weight,
+                shut: !ready || held,
+                locality: standing.row.locality,
+                urgent: !ready || !standing.warm,
+            };
+            post.put(Part::Channel, Note::Want(id, want));
+        }
+        let able: Vec<ServerId> = self.told.keys().copied().collect();
+        post.put(Part::Slices, Note::Able(able));
+        self.set_gates(post);
+        post.put(Part::Channel, Note::Flush);
+    }
+
+    /// Further tries help while failures are few; when they are general they only feed the load.
+    fn set_gates(&mut self, post: &mut Post) {
+        let lost = self.lost.read(post.now, SCORE_MEMORY);
+        let share = lost / (self.tries.read(post.now, SCORE_MEMORY) + CREDIT);
+        if self.further_cut && share < FURTHER_BACK {
+            self.further_cut = false;
+            post.remark("further tries restored".into());
+        } else if !self.further_cut && share > FURTHER_CUT {
+            self.further_cut = true;
+            post.remark("further tries cut back: failures are general".into());
+        }
+        for gate in &mut self.gates {
+            let free = self.idempotent[gate.operation] && !self.further_cut;
+            gate.further = if free { FurtherTry::Once } else { FurtherTry::AfterProof };
+        }
+        post.put(Part::Channel, Note::Gates(self.gates.clone()));
+    }
+}
+
+/// Where slices exist: each keeps its recorded server while that one is able, else moves to another.
+#[derive(Debug)]
+struct Slices {
+    books: BTreeMap<TableId, Option<ServerId>>,
+    /// Slices whose owner was shut out, and since when: writes in hand must end before the next owner.
+    leaving: BTreeMap<TableId, Nanos>,
+    handover: Nanos,
+}
+
+impl Slices {
+    fn take(&mut self, note: Note, post: &mut Post) {
+        match note {
+            Note::Leased(table, true) => {
+                self.books.insert(table, None);
+            }
+            Note::Leased(table, false) => {
+                self.books.remove(&table);
+                self.leaving.remove(&table);
+            }
+            Note::OnRecord(table, server) => {
+                self.books.insert(table, Some(server));
+            }
+            Note::Able(able) => self.place(&able, post),
+            _ => {}
+        }
+    }
+
+    fn place(&mut self, able: &[ServerId], post: &mut Post) {
+        let mut lines = Vec::new();
+        for (&table, holder) in &mut self.books {
+            if holder.is_some_and(|server| able.contains(&server)) {
+                self.leaving.remove(&table);
+                continue;
+            }
+            let Some(&next) = able.get(usize::from(table) % able.len().max(1)) else { continue };
+            let since = *self.leaving.entry(table).or_insert(post.now);
+            if holder.is_some() && post.now.saturating_sub(since) < self.handover {
+                continue;
+            }
+            lines.push((table, next, 1.0));
+            if let Some(former) = holder.replace(next) {
+                lines.push((table, former, 0.0));
+            }
+            self.leaving.remove(&table);
+        }
+        if !lines.is_empty() {
+            post.put(Part::Channel, Note::SliceLines(lines));
+        }
+    }
+}
+
+/// A table of this instance: for some operations, and for one locality where they may not leave it.
+#[derive(Clone, Debug)]
+struct TablePlan {
+    table: TableId,
+    locality: Option<LocalityId>,
+    operations: OperationMask,
+}
+
+impl TablePlan {
+    fn covers(&self, locality: LocalityId) -> bool {
+        self.locality.is_none_or(|own| own == locality)
+    }
+}
+
+/// Figures of the channel, and the account of lines that wait in it.
+#[derive(Debug)]
+struct Pacing {
+    lines_per_ns: f64,
+    nominal: f64,
+    room: f64,
+    overhead: f64,
+    transit: Nanos,
+    waiting: f64,
+    at: Nanos,
+    serial: u16,
+    fenced: BTreeMap<u64, f64>,
+    messages_max: usize,
+    messages_over: Nanos,
+}
+
+impl Pacing {
+    fn waiting(&mut self, now: Nanos) -> f64 {
+        let sent = now.saturating_sub(self.at) as f64 * self.lines_per_ns;
+        self.at = now;
+        self.waiting = (self.waiting - sent).max(0.0);
+        self.waiting
+    }
+
+    /// A channel slower than told shows in late confirmations: the account then drains at the pace seen.
+    fn confirmed(&mut self, serial: u64, took: Nanos) {
+        if let Some(lines) = self.fenced.remove(&serial) {
+            let queued = took.saturating_sub(self.transit) as f64;
+            self.lines_per_ns = if queued > 0.0 { (lines / queued).min(self.nominal) } else { self.nominal };
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Member {
+    locality: LocalityId,
+    installed: bool,
+    written: VecDeque<Nanos>,
+}
+
+/// Knows what was told to proxies, tells them what changed, and keeps the channel short.
+#[derive(Debug)]
+struct Channel {
+    plans: Vec<TablePlan>,
+    sliced: bool,
+    exclusive: bool,
+    pacing: Pacing,
+    members: BTreeMap<ProxyId, Member>,
+    wants: BTreeMap<ServerId, Want>,
+    told: BTreeMap<ServerId, Want>,
+    gates: Vec<Gate>,
+    gates_told: Vec<Gate>,
+    slice_lines: Vec<(TableId, ServerId, f64)>,
+    flushed: Nanos,
+}
+
+impl Channel {
+    fn take(&mut self, note: Note, post: &mut Post) {
+        match note {
+            Note::Want(server, want) => {
+                self.wants.insert(server, want);
+            }
+            Note::Gates(gates) => self.gates = gates,
+            Note::Joined(proxy, locality) => {
+                let written = VecDeque::new();
+                self.members.insert(proxy, Member { locality, installed: self.sliced, written });
+            }
+            Note::Left(proxy) => {
+                self.members.remove(&proxy);
+            }
+            Note::Confirmed { serial, took } => self.pacing.confirmed(serial, took),
+            Note::SliceLines(lines) => self.slice_lines.extend(lines),
+            Note::Flush => {
+                self.changes(post);
+                self.joins(post);
+            }
+            _ => {}
+        }
+    }
+
+    /// Lines whose standing value differs enough; a weight also moves at once when it falls to or leaves 0.
+    fn differing(&self) -> Vec<(ServerId, Want, bool, bool)> {
+        let fresh = Want { weight: 0.0, shut: false, locality: 0, urgent: false };
+        let mut changes = Vec::new();
+        for (&server, &want) in &self.wants {
+            let told = self.told.get(&server).copied().unwrap_or(fresh);
+            let shut = want.shut != told.shut && (want.shut || told.shut);
+            let line = (want.weight - told.weight).abs() > WEIGHT_STEP * told.weight
+                && !(want.shut && want.weight > 0.0 && told.weight > 0.0);
+            if shut || line {
+                changes.push((server, want, shut, line));
+            }
+        }
+        changes
+    }
+
+    fn changes(&mut self, post: &mut Post) {
+        let now = post.now;
+        let changes = self.differing();
+        let gates: Vec<Gate> = self.gates.iter().filter(|g| !self.gates_told.contains(g)).copied().collect();
+        if changes.is_empty() && gates.is_empty() && self.slice_lines.is_empty() {
+            return;
+        }
+        // Drained or gone servers must be left, and cold ones kept from a full share, whatever else waits.
+        let urgent = changes.iter().any(|(server, want, shut, _)| {
+            let heavier = self.told.get(server).map_or(0.0, |told| told.weight) > want.weight;
+            want.urgent && ((*shut && want.shut) || (heavier && !want.shut))
+        });
+        let readers = self.members.values().filter(|member| member.installed).count() as f64;
+        let lines = changes.len() as f64 * 2.0 + gates.len() as f64 + self.slice_lines.len() as f64 + 1.0;
+        let cost = readers * (self.pacing.overhead + lines);
+        let waiting = self.pacing.waiting(now);
+        let due = now.saturating_sub(self.flushed) >= BATCH_GAP || self.flushed == 0;
+        let room = self.pacing.room * ORDINARY_ROOM;
+        let fits = waiting + cost <= room || waiting == 0.0;
+        if !urgent && !(due && fits && self.may_write(now, self.pacing.messages_max / 2)) {
+            return;
+        }
+        self.flushed = now;
+        for &(server, want, shut, _) in &changes {
+            if shut && want.shut {
+                post.orders.push(Order::Suspend { server, on: true });
+            }
+        }
+        for &(server, want, _, line) in &changes {
+            for plan in self.plans.iter().filter(|plan| line && plan.covers(want.locality)) {
+                let table = plan.table;
+                post.orders.push(Order::Line { table, server, weight: want.weight });
+            }
+        }
+        for (table, server, weight) in std::mem::take(&mut self.slice_lines) {
+            if !(self.exclusive && weight == 0.0) {
+                post.orders.push(Order::Line { table, server, weight });
+            }
+        }
+        for &(server, want, shut, line) in &changes {
+            if shut && !want.shut {
+                post.orders.push(Order::Suspend { server, on: false });
+            }
+            let weight = if line { want.weight } else { self.told.get(&server).map_or(0.0, |t| t.weight) };
+            self.told.insert(server, Want { weight, ..want });
+        }
+        self.tell_gates(&gates, post);
+        if readers > 0.0 {
+            self.pacing.waiting += cost;
+            self.pacing.serial = self.pacing.serial.wrapping_add(1);
+            self.pacing.fenced.insert(self.pacing.serial.into(), self.pacing.waiting);
+            while self.pacing.fenced.len() > 16 {
+                self.pacing.fenced.pop_first();
+            }
+            post.orders.push(Order::FencePost { serial: self.pacing.serial, everyone: false });
+            self.note_written(now);
+        }
+    }
+
+    fn tell_gates(&mut self, gates: &[Gate], post: &mut Post) {
+        for gate in gates {
+            let operations = 1 << gate.operation;
+            let (amount, further) = (gate.amount, gate.further);
+            let tables = self.plans.iter().filter(|plan| plan.operations & operations != 0);
+            for table in tables.map(|plan| plan.table) {
+                post.orders.push(Order::Gate { table: Some(table), operations, amount, further });
+            }
+            if self.sliced {
+                post.orders.push(Order::Gate { table: None, operations, amount, further });
+            }
+        }
+        self.gates_told.clone_from(&self.gates);
+    }
+
+    fn may_write(&mut self, now: Nanos, most: usize) -> bool {
+        let over = self.pacing.messages_over;
+        self.pacing.messages_max == 0
+            || self.members.values_mut().all(|member| {
+                while member.written.front().is_some_and(|&at| now.saturating_sub(at) > over) {
+                    member.written.pop_front();
+                }
+                member.written.len() < most.max(1)
+            })
+    }
+
+    fn note_written(&mut self, now: Nanos) {
+        if self.pacing.messages_max > 0 {
+            self.members.values_mut().filter(|m| m.installed).for_each(|m| m.written.push_back(now));
+        }
+    }
+
+    /// Whole tables for those that joined, as many as the channel has room for.
+    fn joins(&mut self, post: &mut Post) {
+        let open = self.told.values().filter(|told| told.weight > 0.0 && !told.shut).count();
+        if open == 0 {
+            return;
+        }
+        let lines = (self.told.len() * 2 + self.gates.len() + 1) * self.plans.len().min(2);
+        let cost = self.pacing.overhead + lines as f64;
+        for (&proxy, member) in self.members.iter_mut().filter(|(_, member)| !member.installed) {
+            let waiting = self.pacing.waiting(post.now);
+            if waiting > 0.0 && waiting + cost > self.pacing.room * JOIN_ROOM {
+                break;
+            }
+            for plan in self.plans.iter().filter(|plan| plan.covers(member.locality)) {
+                let (table, operations) = (plan.table, plan.operations);
+                post.orders.push(Order::Install { proxy, table, operations });
+            }
+            member.installed = true;
+            member.written.push_back(post.now);
+            self.pacing.waiting += cost;
+        }
+    }
+}
+
+/// One instance of the decisions.
+#[derive(Debug)]
+pub struct Brain {
+    post: Post,
+    registry: Registry,
+    servers: BTreeMap<ServerId, Server>,
+    judging: Judging,
+    fleet: Fleet,
+    slices: Slices,
+    channel: Channel,
+    operations: usize,
+    beat: Nanos,
+    started: bool,
+}
+
+impl Brain {
+    pub fn new(facts: &StartupFacts) -> Self {
+        let home: OperationMask = mask(facts, |operation| operation.home_only);
+        let free: OperationMask = mask(facts, |operation| !operation.home_only);
+        let mut plans = Vec::new();
+        if facts.slices == 0 && free != 0 {
+            plans.push(TablePlan { table: 0, locality: None, operations: free });
+        }
+        if facts.slices == 0 && home != 0 {
+            plans.extend((0..facts.localities).map(|locality| TablePlan {
+                table: locality + 1,
+                locality: Some(locality),
+                operations: home,
+            }));
+        }
+        let amount = if facts.admission == Admission::Rate { f64::from(u32::MAX) } else { 1.0 };
+        let gate = |operation| Gate { operation, amount, further: FurtherTry::AfterProof };
+        let gates: Vec<Gate> = (0..facts.operations.len()).map(gate).collect();
+        let settled = facts.in_flight_max + facts.worst_transit;
+        Brain {
+            post: Post::default(),
+            registry: Registry {
+                asks: facts.membership_on_request,
+                patience: facts.ask_every.max(SECOND),
+                listed: BTreeSet::new(),
+                failures: 0,
+                chance: oorandom::Rand64::new(facts.seed.into()),
+            },
+            servers: BTreeMap::new(),
+            judging: Judging {
+                cold_from: facts.cold_from,
+                cold_for: facts.cold_for,
+                echo: (facts.worst_transit + 2 * facts.report_cycle).max(1),
+                sizes_told: facts.weights_tell_size,
+                gone_does_not_bind: facts.gone_does_not_bind,
+            },
+            fleet: Fleet {
+                standings: BTreeMap::new(),
+                awaited: 0,
+                answered: 0.0,
+                tries: Fading::default(),
+                lost: Fading::default(),
+                told: BTreeMap::new(),
+                by_locality: home != 0,
+                gates: gates.clone(),
+                idempotent: facts.operations.iter().map(may_repeat).collect(),
+                further_cut: false,
+            },
+            slices: Slices {
+                books: BTreeMap::new(),
+                leaving: BTreeMap::new(),
+                handover: if facts.sole_owner { settled } else { 0 },
+            },
+            channel: Channel {
+                plans,
+                sliced: facts.slices > 0,
+                exclusive: facts.sole_owner,
+                pacing: Pacing {
+                    lines_per_ns: facts.lines_per_s / SECOND as f64,
+                    nominal: facts.lines_per_s / SECOND as f64,
+                    room: facts.backlog,
+                    overhead: facts.message_overhead,
+                    transit: facts.worst_transit,
+                    waiting: 0.0,
+                    at: 0,
+                    serial: 0,
+                    fenced: BTreeMap::new(),
+                    messages_max: facts.messages_max as usize,
+                    messages_over: facts.messages_over,
+                },
+                members: BTreeMap::new(),
+                wants: BTreeMap::new(),
+                told: BTreeMap::new(),
+                gates,
+                gates_told: Vec::new(),
+                slice_lines: Vec::new(),
+                flushed: 0,
+            },
+            operations: facts.operations.len(),
+            beat: facts.report_cycle.clamp(SECOND / 10, SECOND) / 4,
+            started: false,
+        }
+    }
+
+    /// Takes the events of one batch and gives the orders, in order.
+    pub fn decide(&mut self, now: Nanos, events: Vec<Event>) -> Vec<Order> {
+        self.post.now = now;
+        if !self.started {
+            self.started = true;
+            self.post.orders.push(Order::Remind { span: self.beat, ctx: BEAT });
+            self.post.put(Part::Registry, Note::ListenAgain);
+        }
+        for event in events {
+            self.sort(event);
+        }
+        self.empty_inboxes();
+        self.post.put(Part::Fleet, Note::Beat);
+        self.empty_inboxes();
+        std::mem::take(&mut self.post.orders)
+    }
+
+    /// Turns an event into a note for the part that it concerns.
+    fn sort(&mut self, event: Event) {
+        let (part, note) = match event {
+            Event::Roster(news) => (Part::Registry, Note::Roster(news)),
+            Event::Joined { proxy, locality, .. } => (Part::Channel, Note::Joined(proxy, locality)),
+            Event::Left { proxy } => (Part::Channel, Note::Left(proxy)),
+            Event::Digest(digest) if digest.tries > 0 => (Part::Server(digest.server), Note::Digest(digest)),
+            Event::Intake { operation, total, lost, .. } if usize::from(operation) < self.operations => {
+                (Part::Fleet, Note::Intake { operation, total, lost })
+            }
+            Event::Confirmed { serial, took, .. } => (Part::Channel, Note::Confirmed { serial, took }),
+            Event::Leased { table, on } => (Part::Slices, Note::Leased(table, on)),
+            Event::OnRecord { table, server, .. } => (Part::Slices, Note::OnRecord(table, server)),
+            Event::Fired { ctx: BEAT } => {
+                return self.post.orders.push(Order::Remind { span: self.beat, ctx: BEAT });
+            }
+            Event::Fired { ctx: LISTEN_AGAIN } => (Part::Registry, Note::ListenAgain),
+            _ => return,
+        };
+        self.post.put(part, note);
+    }
+
+    /// The one loop that empties all inboxes.
+    fn empty_inboxes(&mut self) {
+        while let Some((part, note)) = self.post.next() {
+            match part {
+                Part::Registry => self.registry.take(note, &mut self.post),
+                Part::Server(id) => {
+                    if let Note::Listed(row) = note {
+                        self.servers.entry(id).or_insert_with(|| Server::new(row, self.post.now));
+                    }
+                    if let Some(server) = self.servers.get_mut(&id) {
+                        server.take(note, &self.judging, &mut self.post);
+                    }
+                }
+                Part::Fleet => {
+                    let ids: Vec<ServerId> = self.servers.keys().copied().collect();
+                    self.fleet.take(note, &ids, &mut self.post);
+                }
+                Part::Slices => self.slices.take(note, &mut self.post),
+                Part::Channel => self.channel.take(note, &mut self.post),
+            }
+        }
+    }
+}
+
+fn mask(facts: &StartupFacts, wanted: impl Fn(&Operation) -> bool) -> OperationMask {
+    let chosen = facts.operations.iter().enumerate().filter(|(_, operation)| wanted(operation));
+    chosen.fold(0, |mask, (at, _)| mask | 1 << at)
+}
+
+/// May proxies try again after any failure? Fingerprinted operations only where every server drops repeats
+/// until the client has given up: a stalled proxy may send its second try as late as that.
+fn may_repeat(operation: &Operation) -> bool {
+    match operation.effect {
+        Effect::Idempotent => true,
+        Effect::Fingerprinted => {
+            operation.repeat_scope == RepeatScope::Everywhere
+                && operation.repeat_window >= operation.integration_timeout
+        }
+        Effect::SideEffecting => false,
+    }
+}
--- /dev/null
+++ b/src/notes.rs
@@ -0,0 +1,141 @@
+//! How the parts of the decision module talk: notes put into inboxes, and the fading sums they keep.
+//! Nothing is decided here.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::interface::*;
+
+/// A sum that fades: brought up to date when read.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Fading {
+    pub(crate) sum: f64,
+    pub(crate) at: Nanos,
+}
+
+impl Fading {
+    pub(crate) fn read(&mut self, now: Nanos, memory: Nanos) -> f64 {
+        self.sum *= (-(now.saturating_sub(self.at) as f64) / memory as f64).exp();
+        self.at = now;
+        self.sum
+    }
+
+    pub(crate) fn add(&mut self, now: Nanos, memory: Nanos, amount: f64) {
+        self.read(now, memory);
+        self.sum += amount;
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Part {
+    Registry,
+    Server(ServerId),
+    Fleet,
+    Slices,
+    Channel,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum Note {
+    Roster(RosterNews),
+    ListenAgain,
+    Listed(RosterRow),
+    Delisted,
+    Digest(Digest),
+    Weigh(Picture),
+    Held(bool),
+    Intake { operation: u16, total: u32, lost: u32 },
+    Met { tries: f64, lost: f64, time: f64 },
+    Standing(Standing),
+    Beat,
+    Want(ServerId, Want),
+    Gates(Vec<Gate>),
+    Joined(ProxyId, LocalityId),
+    Left(ProxyId),
+    Confirmed { serial: u64, took: Nanos },
+    Leased(TableId, bool),
+    OnRecord(TableId, ServerId),
+    Able(Vec<ServerId>),
+    SliceLines(Vec<(TableId, ServerId, f64)>),
+    Flush,
+}
+
+/// What the fleet lets each server compare itself with.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Picture {
+    pub(crate) median_time: f64,
+    pub(crate) common_error: f64,
+    /// Answers in this batch's reports, all servers together.
+    pub(crate) answered: f64,
+    /// This server's part of all weight told to proxies.
+    pub(crate) share: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Fault {
+    Errors,
+    Silence,
+    Score,
+}
+
+/// What a server reports of itself to the fleet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Standing {
+    pub(crate) row: RosterRow,
+    pub(crate) warm: bool,
+    pub(crate) out: bool,
+    pub(crate) fault: Option<Fault>,
+    pub(crate) severity: f64,
+    pub(crate) weight: f64,
+    pub(crate) time: Option<f64>,
+    pub(crate) error: f64,
+}
+
+/// What the channel shall see to at the proxies for one server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Want {
+    pub(crate) weight: f64,
+    pub(crate) shut: bool,
+    pub(crate) locality: LocalityId,
+    /// A rule hangs on it: it does not wait for the next batch.
+    pub(crate) urgent: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Gate {
+    pub(crate) operation: usize,
+    pub(crate) amount: f64,
+    pub(crate) further: FurtherTry,
+}
+
+/// The inboxes of all parts, and the orders given so far in this batch.
+#[derive(Debug, Default)]
+pub(crate) struct Post {
+    pub(crate) now: Nanos,
+    pub(crate) inboxes: BTreeMap<Part, VecDeque<Note>>,
+    pub(crate) orders: Vec<Order>,
+}
+
+impl Post {
+    pub(crate) fn put(&mut self, part: Part, note: Note) {
+        self.inboxes.entry(part).or_default().push_back(note);
+    }
+
+    pub(crate) fn next(&mut self) -> Option<(Part, Note)> {
+        let mut inbox = self.inboxes.first_entry()?;
+        let (part, note) = (*inbox.key(), inbox.get_mut().pop_front());
+        if inbox.get().is_empty() {
+            inbox.remove();
+        }
+        note.map(|note| (part, note))
+    }
+
+    pub(crate) fn remark(&mut self, line: String) {
+        self.orders.push(Order::Remark(line));
+    }
+}
+
+/// The middle one; 0 where there is none.
+pub(crate) fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or(0.0)
+}
