Cap cold servers' share and keep them out while proxies avoid warm ones

Guards against any concentration on cold servers: mass restarts, deploys under load, damped neighbours. May cost capacity while a fleet recovers. Further tries stop while failures are general.

--- a/crates/wire/src/profile.rs
+++ b/crates/wire/src/profile.rs
@@ -101,6 +101,8 @@
     cycle_ms: Nanos,
     #[serde(deserialize_with = "span")]
     empty_for_ms: Nanos,
+    #[serde(default)]
+    fails_to_eject: u32,
     first_wait: f64,
     #[serde(default)]
     home_only: Vec<bool>,
@@ -215,6 +217,7 @@
         report_cycle: family.cycle_ms,
         empty_for: family.empty_for_ms,
         first_wait: family.first_wait,
+        fails_to_avoid: family.fails_to_eject,
         slices: family.key_ranges,
         sole_owner: family.sole_owner,
         tenure: family.tenure_ms,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -50,6 +50,8 @@
 /// Fleet-wide share of lost tries above which further tries feed the trouble, and below which they return.
 const FURTHER_CUT: f64 = 0.2;
 const FURTHER_BACK: f64 = 0.1;
+/// Chance of as many losses in a row as make a proxy avoid a server, from which avoidance counts as common.
+const AVOIDED: f64 = 0.01;
 /// Part of the channel's room that ordinary changes and joins may fill; the rest is for withdrawals.
 const ORDINARY_ROOM: f64 = 0.5;
 const JOIN_ROOM: f64 = 0.8;
@@ -143,6 +145,8 @@
     term: Nanos,
     since: Nanos,
     weighed: Nanos,
+    /// When it was last listed ready.
+    left_at: Nanos,
 }
 
 impl Server {
@@ -164,6 +168,7 @@
             term: FIRST_TERM,
             since: now,
             weighed: now,
+            left_at: 0,
         }
     }
 
@@ -272,6 +277,10 @@
         let warm_part = self.warm_part(judging, now);
         let caution = if warm_part < 1.0 { COLD_CAUTION * warm_part } else { 1.0 };
         let listed = if judging.sizes_told { self.row.weight } else { 1.0 };
+        let ready = self.row.readiness == Readiness::Ready;
+        if ready {
+            self.left_at = now;
+        }
         Standing {
             row: self.row,
             warm: warm_part >= 1.0,
@@ -279,6 +288,9 @@
             fault: self.fault,
             severity: error_score + time_score + self.unanswered / SILENCE,
             weight: listed * self.factor(time, picture.median_time) * band * self.level.min(caution),
+            listed,
+            cap: (warm_part < 1.0).then_some(listed * caution),
+            known: ready || now.saturating_sub(self.left_at) < judging.cold_for,
             time: time.filter(|_| self.out_since.is_none()),
             error,
         }
@@ -333,7 +345,9 @@
     by_locality: bool,
     gates: Vec<Gate>,
     idempotent: Vec<bool>,
-    further_cut: bool,
+    general: bool,
+    /// Lost share from which proxies avoid many servers by themselves.
+    avoided_from: f64,
 }
 
 impl Fleet {
@@ -400,17 +414,17 @@
 
     fn conclude(&mut self, post: &mut Post) {
         let out = self.granted();
+        let lost = self.lost.read(post.now, SCORE_MEMORY);
+        let lost_share = lost / (self.tries.read(post.now, SCORE_MEMORY) + CREDIT);
         self.told.clear();
+        self.set_gates(lost_share, post);
+        self.weights(&out, 1.0 - lost_share);
         for (&id, standing) in &self.standings {
             let ready = standing.row.readiness == Readiness::Ready;
             let held = out.contains(&id);
             post.put(Part::Server(id), Note::Held(held));
-            // A fault that may not be withdrawn keeps the least weight instead.
-            let damped = if standing.fault.is_some() && !held { RETURN_LEVEL } else { 1.0 };
-            let weight = if ready { standing.weight * damped } else { 0.0 };
-            if ready && !held {
-                self.told.insert(id, weight);
-            }
+            let kept = if ready && held { standing.weight } else { 0.0 };
+            let weight = self.told.get(&id).copied().unwrap_or(kept);
             let want = Want {
                 weight,
                 shut: !ready || held,
@@ -421,24 +435,49 @@
         }
         let able: Vec<ServerId> = self.told.keys().copied().collect();
         post.put(Part::Slices, Note::Able(able));
-        self.set_gates(post);
         post.put(Part::Channel, Note::Flush);
     }
 
+    /// Weights of the servers that stay in. A fault that may not be withdrawn keeps the least weight.
+    ///
+    /// Guards cold servers against the work that others' withdrawals, damping or death send their way: the
+    /// share of a cold one never exceeds what it would be if all servers known of late were in at full
+    /// weight, less the part by which lost tries come again. Where the fleet has shrunk for good it makes
+    /// warming servers take their part a bit later. When tries fail so often, or would on the few warm
+    /// servers left, that proxies avoid warm servers by themselves, all work would land on the cold: those
+    /// wait outside the table, warming by time, as long as a warm one is in.
+    fn weights(&mut self, out: &BTreeSet<ServerId>, kept: f64) {
+        let known: f64 = self.standings.values().filter(|s| s.known).map(|s| s.listed).sum::<f64>() / kept;
+        let inside = |s: &Standing| s.row.readiness == Readiness::Ready && !out.contains(&s.row.server);
+        let damped = |s: &Standing| if s.fault.is_some() { RETURN_LEVEL * s.weight } else { s.weight };
+        let (cold, warm): (Vec<&Standing>, Vec<&Standing>) =
+            self.standings.values().filter(|s| inside(s)).partition(|s| s.cap.is_some());
+        let warm_sum: f64 = warm.iter().map(|s| damped(s)).sum();
+        let caps: f64 = cold.iter().filter_map(|s| s.cap).sum::<f64>() / known.max(f64::MIN_POSITIVE);
+        let total = if warm_sum > 0.0 { warm_sum / (1.0 - caps.min(COLD_CAUTION)) } else { f64::MAX };
+        self.told.extend(warm.iter().map(|s| (s.row.server, damped(s))));
+        let warm_part = warm.iter().map(|s| s.listed).sum::<f64>() / (known * kept).max(f64::MIN_POSITIVE);
+        let wait = 1.0 - kept > self.avoided_from * warm_part && warm_sum > 0.0;
+        let most = |s: &Standing| if wait { 0.0 } else { s.cap.map_or(f64::MAX, |cap| cap / known * total) };
+        let capped = |s: &Standing| damped(s).min(most(s));
+        self.told.extend(cold.iter().map(|s| (s.row.server, capped(s))));
+    }
+
     /// Further tries help while failures are few; when they are general they only feed the load.
-    fn set_gates(&mut self, post: &mut Post) {
-        let lost = self.lost.read(post.now, SCORE_MEMORY);
-        let share = lost / (self.tries.read(post.now, SCORE_MEMORY) + CREDIT);
-        if self.further_cut && share < FURTHER_BACK {
-            self.further_cut = false;
+    fn set_gates(&mut self, share: f64, post: &mut Post) {
+        if self.general && share < FURTHER_BACK {
+            self.general = false;
             post.remark("further tries restored".into());
-        } else if !self.further_cut && share > FURTHER_CUT {
-            self.further_cut = true;
+        } else if !self.general && share > FURTHER_CUT {
+            self.general = true;
             post.remark("further tries cut back: failures are general".into());
         }
         for gate in &mut self.gates {
-            let free = self.idempotent[gate.operation] && !self.further_cut;
-            gate.further = if free { FurtherTry::Once } else { FurtherTry::AfterProof };
+            gate.further = match (self.general, self.idempotent[gate.operation]) {
+                (true, _) => FurtherTry::Never,
+                (false, true) => FurtherTry::Once,
+                (false, false) => FurtherTry::AfterProof,
+            };
         }
         post.put(Part::Channel, Note::Gates(self.gates.clone()));
     }
@@ -781,7 +820,8 @@
                 by_locality: home != 0,
                 gates: gates.clone(),
                 idempotent: facts.operations.iter().map(may_repeat).collect(),
-                further_cut: false,
+                general: false,
+                avoided_from: AVOIDED.powf(1.0 / f64::from(facts.fails_to_avoid.max(1))),
             },
             slices: Slices {
                 books: BTreeMap::new(),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -88,6 +88,8 @@
     pub report_cycle: Nanos,
     pub empty_for: Nanos,
     pub first_wait: f64,
+    /// A proxy avoids a server after so many of its own losses there in a row; 0: never.
+    pub fails_to_avoid: u32,
     pub slices: u16,
     pub sole_owner: bool,
     pub tenure: Nanos,
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -86,6 +86,10 @@
     pub(crate) fault: Option<Fault>,
     pub(crate) severity: f64,
     pub(crate) weight: f64,
+    pub(crate) listed: f64,
+    /// Most that it may get while cold, beside the listed weights of all servers known of late.
+    pub(crate) cap: Option<f64>,
+    pub(crate) known: bool,
     pub(crate) time: Option<f64>,
     pub(crate) error: f64,
 }
