Try again only after proof that the first try never ran

Cause: a further try after any failure cuts the first off at its wait; running work goes on at the server, the cut-off counts as an error there, and sound servers were withdrawn. Also: learned factor by the square root of the time ratio. It gives up quick second tries where a few servers fail fast.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -299,7 +299,7 @@
     /// What the list does not tell of its capacity, learned from answer times and bounded.
     fn factor(&self, time: Option<f64>, median: f64) -> f64 {
         match time {
-            Some(time) if median > 0.0 => (median / time).clamp(1.0 / FACTOR_BOUND, FACTOR_BOUND),
+            Some(time) if median > 0.0 => (median / time).sqrt().clamp(1.0 / FACTOR_BOUND, FACTOR_BOUND),
             _ => 1.0,
         }
     }
@@ -344,7 +344,6 @@
     told: BTreeMap<ServerId, f64>,
     by_locality: bool,
     gates: Vec<Gate>,
-    idempotent: Vec<bool>,
     general: bool,
     /// Lost share from which proxies avoid many servers by themselves.
     avoided_from: f64,
@@ -463,7 +462,9 @@
         self.told.extend(cold.iter().map(|s| (s.row.server, capped(s))));
     }
 
-    /// Further tries help while failures are few; when they are general they only feed the load.
+    /// Further tries only after proof that the first never ran, which is safe for every operation: tries cut
+    /// off to be repeated elsewhere cost more work than they save. When failures are general even those
+    /// only feed the load, and bring cold servers what the warm turned away.
     fn set_gates(&mut self, share: f64, post: &mut Post) {
         if self.general && share < FURTHER_BACK {
             self.general = false;
@@ -473,11 +474,7 @@
             post.remark("further tries cut back: failures are general".into());
         }
         for gate in &mut self.gates {
-            gate.further = match (self.general, self.idempotent[gate.operation]) {
-                (true, _) => FurtherTry::Never,
-                (false, true) => FurtherTry::Once,
-                (false, false) => FurtherTry::AfterProof,
-            };
+            gate.further = if self.general { FurtherTry::Never } else { FurtherTry::AfterProof };
         }
         post.put(Part::Channel, Note::Gates(self.gates.clone()));
     }
@@ -819,7 +816,6 @@
                 told: BTreeMap::new(),
                 by_locality: home != 0,
                 gates: gates.clone(),
-                idempotent: facts.operations.iter().map(may_repeat).collect(),
                 general: false,
                 avoided_from: AVOIDED.powf(1.0 / f64::from(facts.fails_to_avoid.max(1))),
             },
@@ -926,16 +922,3 @@
     let chosen = facts.operations.iter().enumerate().filter(|(_, operation)| wanted(operation));
     chosen.fold(0, |mask, (at, _)| mask | 1 << at)
 }
-
-/// May proxies try again after any failure? Fingerprinted operations only where every server drops repeats
-/// until the client has given up: a stalled proxy may send its second try as late as that.
-fn may_repeat(operation: &Operation) -> bool {
-    match operation.effect {
-        Effect::Idempotent => true,
-        Effect::Fingerprinted => {
-            operation.repeat_scope == RepeatScope::Everywhere
-                && operation.repeat_window >= operation.integration_timeout
-        }
-        Effect::SideEffecting => false,
-    }
-}
