Shed what bills least for its objective while answers come late

Where levels are heeded. Mean answer time or lost tries over a bound raise the shed part step by step; it falls four times slower.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -50,6 +50,11 @@
 /// Fleet-wide share of lost tries above which further tries feed the trouble, and below which they return.
 const FURTHER_CUT: f64 = 0.2;
 const FURTHER_BACK: f64 = 0.1;
+/// Mean answer time, as a part of the mean objective, from which the fleet counts as overloaded.
+const PATIENCE: f64 = 0.6;
+/// Most of an operation that is shed, and the most that a report cycle adds.
+const SHED_MOST: f64 = 0.9;
+const SHED_STEP: f64 = 0.2;
 /// Chance of as many losses in a row as make a proxy avoid a server, from which avoidance counts as common.
 const AVOIDED: f64 = 0.01;
 /// Part of the channel's room that ordinary changes and joins may fill; the rest is for withdrawals.
@@ -299,7 +304,7 @@
     /// What the list does not tell of its capacity, learned from answer times and bounded.
     fn factor(&self, time: Option<f64>, median: f64) -> f64 {
         match time {
-            Some(time) if median > 0.0 => (median / time).sqrt().clamp(1.0 / FACTOR_BOUND, FACTOR_BOUND),
+            Some(time) if median > 0.0 => (median / time).powf(0.75).clamp(1.0 / FACTOR_BOUND, FACTOR_BOUND),
             _ => 1.0,
         }
     }
@@ -341,6 +346,15 @@
     answered: f64,
     tries: Fading,
     lost: Fading,
+    served: Fading,
+    time: Fading,
+    /// Operations that may be shed, the least billed value for its objective first; empty: levels unheeded.
+    sheddable: Vec<usize>,
+    /// How much is shed: whole operations, and a part of the next.
+    shed: f64,
+    patience: f64,
+    cycle: Nanos,
+    shed_at: Nanos,
     told: BTreeMap<ServerId, f64>,
     by_locality: bool,
     gates: Vec<Gate>,
@@ -352,8 +366,10 @@
 impl Fleet {
     fn take(&mut self, note: Note, ids: &[ServerId], post: &mut Post) {
         match note {
-            Note::Met { tries, lost, .. } => {
+            Note::Met { tries, lost, time } => {
                 self.answered += tries - lost;
+                self.served.add(post.now, SCORE_MEMORY, tries - lost);
+                self.time.add(post.now, SCORE_MEMORY, time);
                 self.tries.add(post.now, SCORE_MEMORY, tries);
                 self.lost.add(post.now, SCORE_MEMORY, lost);
             }
@@ -473,11 +489,38 @@
             self.general = true;
             post.remark("further tries cut back: failures are general".into());
         }
+        self.set_shed(share, post);
         for gate in &mut self.gates {
             gate.further = if self.general { FurtherTry::Never } else { FurtherTry::AfterProof };
         }
         post.put(Part::Channel, Note::Gates(self.gates.clone()));
     }
+
+    /// Where levels are heeded: in overload, sheds what bills least for its objective, and restores gently.
+    ///
+    /// Guards against any lack of capacity, whatever its cause: late answers are worth next to nothing and
+    /// cost as much. It could harm where answers are slow for reasons that less work does not mend.
+    fn set_shed(&mut self, share: f64, post: &mut Post) {
+        let now = post.now;
+        if self.sheddable.is_empty() || now.saturating_sub(self.shed_at) < self.cycle {
+            return;
+        }
+        self.shed_at = now;
+        let mean = self.time.read(now, SCORE_MEMORY) / self.served.read(now, SCORE_MEMORY).max(CREDIT);
+        let heat = (mean / self.patience).max(share / FURTHER_CUT);
+        let before = self.shed;
+        let most = self.sheddable.len() as f64 - 1.0 + SHED_MOST;
+        let step = if heat > 1.0 { SHED_STEP * (heat - 1.0).clamp(0.25, 1.0) } else { -SHED_STEP / 4.0 };
+        self.shed = (self.shed + step).clamp(0.0, most);
+        if before == 0.0 && self.shed > 0.0 {
+            post.remark("shedding: answers come late".into());
+        } else if before > 0.0 && self.shed == 0.0 {
+            post.remark("shedding ends".into());
+        }
+        for (rank, &operation) in self.sheddable.iter().enumerate() {
+            self.gates[operation].amount = 1.0 - (self.shed - rank as f64).clamp(0.0, SHED_MOST);
+        }
+    }
 }
 
 /// Where slices exist: each keeps its recorded server while that one is able, else moves to another.
@@ -813,6 +856,13 @@
                 answered: 0.0,
                 tries: Fading::default(),
                 lost: Fading::default(),
+                served: Fading::default(),
+                time: Fading::default(),
+                sheddable: sheddable(facts),
+                shed: 0.0,
+                patience: patience(facts),
+                cycle: facts.report_cycle,
+                shed_at: 0,
                 told: BTreeMap::new(),
                 by_locality: home != 0,
                 gates: gates.clone(),
@@ -918,6 +968,25 @@
     }
 }
 
+/// Operations in the order in which they are shed: objectives stand in for work, which no one tells.
+fn sheddable(facts: &StartupFacts) -> Vec<usize> {
+    if facts.admission != Admission::Ratio {
+        return Vec::new();
+    }
+    let dear =
+        |at: &usize| facts.operations[*at].billed_value / facts.operations[*at].latency_objective as f64;
+    let mut order: Vec<usize> = (0..facts.operations.len()).collect();
+    order.sort_by(|a, b| dear(a).total_cmp(&dear(b)));
+    order
+}
+
+/// Mean answer time that still keeps most of the billed value.
+fn patience(facts: &StartupFacts) -> f64 {
+    let value: f64 = facts.operations.iter().map(|operation| operation.billed_value).sum();
+    let weighed = facts.operations.iter().map(|o| o.billed_value * o.latency_objective as f64);
+    PATIENCE * weighed.sum::<f64>() / value.max(f64::MIN_POSITIVE)
+}
+
 fn mask(facts: &StartupFacts, wanted: impl Fn(&Operation) -> bool) -> OperationMask {
     let chosen = facts.operations.iter().enumerate().filter(|(_, operation)| wanted(operation));
     chosen.fold(0, |mask, (at, _)| mask | 1 << at)
