Shed by the heat of the last cycle and restore as fast as it falls

Two thirds of the invocations were still shed 30 s later while answers took 130 ms: heat was read from 5 s sums and fell slowly.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -346,8 +346,8 @@
     answered: f64,
     tries: Fading,
     lost: Fading,
-    served: Fading,
-    time: Fading,
+    /// Tries, lost, succeeded and their time over one cycle or so: shedding must not act on old news.
+    recent: [Fading; 4],
     /// Operations that may be shed, the least billed value for its objective first; empty: levels unheeded.
     sheddable: Vec<usize>,
     /// How much is shed: whole operations, and a part of the next.
@@ -368,8 +368,9 @@
         match note {
             Note::Met { tries, lost, time } => {
                 self.answered += tries - lost;
-                self.served.add(post.now, SCORE_MEMORY, tries - lost);
-                self.time.add(post.now, SCORE_MEMORY, time);
+                for (sum, amount) in self.recent.iter_mut().zip([tries, lost, tries - lost, time]) {
+                    sum.add(post.now, self.cycle, amount);
+                }
                 self.tries.add(post.now, SCORE_MEMORY, tries);
                 self.lost.add(post.now, SCORE_MEMORY, lost);
             }
@@ -489,7 +490,7 @@
             self.general = true;
             post.remark("further tries cut back: failures are general".into());
         }
-        self.set_shed(share, post);
+        self.set_shed(post);
         for gate in &mut self.gates {
             gate.further = if self.general { FurtherTry::Never } else { FurtherTry::AfterProof };
         }
@@ -500,17 +501,17 @@
     ///
     /// Guards against any lack of capacity, whatever its cause: late answers are worth next to nothing and
     /// cost as much. It could harm where answers are slow for reasons that less work does not mend.
-    fn set_shed(&mut self, share: f64, post: &mut Post) {
+    fn set_shed(&mut self, post: &mut Post) {
         let now = post.now;
         if self.sheddable.is_empty() || now.saturating_sub(self.shed_at) < self.cycle {
             return;
         }
         self.shed_at = now;
-        let mean = self.time.read(now, SCORE_MEMORY) / self.served.read(now, SCORE_MEMORY).max(CREDIT);
-        let heat = (mean / self.patience).max(share / FURTHER_CUT);
+        let [tries, lost, served, time] = self.recent.each_mut().map(|sum| sum.read(now, self.cycle));
+        let heat = (time / (served + CREDIT) / self.patience).max(lost / (tries + CREDIT) / FURTHER_CUT);
         let before = self.shed;
         let most = self.sheddable.len() as f64 - 1.0 + SHED_MOST;
-        let step = if heat > 1.0 { SHED_STEP * (heat - 1.0).clamp(0.25, 1.0) } else { -SHED_STEP / 4.0 };
+        let step = SHED_STEP * (heat - 1.0).clamp(-0.5, 1.0);
         self.shed = (self.shed + step).clamp(0.0, most);
         if before == 0.0 && self.shed > 0.0 {
             post.remark("shedding: answers come late".into());
@@ -856,8 +857,7 @@
                 answered: 0.0,
                 tries: Fading::default(),
                 lost: Fading::default(),
-                served: Fading::default(),
-                time: Fading::default(),
+                recent: Default::default(),
                 sheddable: sheddable(facts),
                 shed: 0.0,
                 patience: patience(facts),
