--- a/src/brain.rs
+++ b/src/brain.rs
@@ -55,6 +55,8 @@
 /// Most of an operation that is shed, and the most that a report cycle adds.
 const SHED_MOST: f64 = 0.9;
 const SHED_STEP: f64 = 0.2;
+/// Heat below which the shed part falls; between it and 1 the part holds.
+const HEAT_LOW: f64 = 0.7;
 /// Chance of as many losses in a row as make a proxy avoid a server, from which avoidance counts as common.
 const AVOIDED: f64 = 0.01;
 /// Part of the channel's room that ordinary changes and joins may fill; the rest is for withdrawals.
@@ -511,7 +513,8 @@
         let heat = (time / (served + CREDIT) / self.patience).max(lost / (tries + CREDIT) / FURTHER_CUT);
         let before = self.shed;
         let most = self.sheddable.len() as f64 - 1.0 + SHED_MOST;
-        let step = SHED_STEP * (heat - 1.0).clamp(-0.5, 1.0);
+        let step =
+            SHED_STEP * if heat > 1.0 { (heat - 1.0).min(1.0) } else { 3.0 * (heat - HEAT_LOW).min(0.0) };
         self.shed = (self.shed + step).clamp(0.0, most);
         if before == 0.0 && self.shed > 0.0 {
             post.remark("shedding: answers come late".into());
