Draw a server's answer time towards its kind's

Guards against small samples; new and returning servers start from what their kind shows. It could harm where kinds differ within.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,10 +39,12 @@
 
 /// Tries that a server is credited with beforehand: a few bad ones of a heavy tail are no evidence.
 const CREDIT: f64 = 2.0;
+/// Answers that a server's kind stands for when its own time is learned.
+const KIND_CREDIT: f64 = 12.0;
 /// Answers that other servers' reports led us to expect, none of which came: silence (chance: e^-7).
 const SILENCE: f64 = 7.0;
 /// Answer times are learned over this many score memories, since a capacity changes slower than health.
-const LEARNING: Nanos = 2 * SCORE_MEMORY;
+const LEARNING: Nanos = 3 * SCORE_MEMORY;
 /// The learned factor on a listed weight stays within this and its inverse.
 const FACTOR_BOUND: f64 = 3.0;
 /// Cold servers get this part of what the slowest way of warming up would let them do.
@@ -219,11 +221,11 @@
         post.put(Part::Fleet, Note::Met { tries, lost, time });
     }
 
-    /// Mean answer time, drawn towards the fleet's by a few tries' worth of credit.
-    fn answer_time(&mut self, now: Nanos, median: f64) -> Option<f64> {
+    /// Mean answer time, drawn towards its kind's by some tries' worth of credit.
+    fn answer_time(&mut self, now: Nanos, kind_time: f64) -> Option<f64> {
         let answered = self.answered.read(now, LEARNING);
-        let credit = if median > 0.0 { 2.0 * CREDIT } else { 0.0 };
-        (answered > 1.0).then(|| (self.time.read(now, LEARNING) + credit * median) / (answered + credit))
+        let credit = if kind_time > 0.0 { KIND_CREDIT } else { 0.0 };
+        (answered > 1.0).then(|| (self.time.read(now, LEARNING) + credit * kind_time) / (answered + credit))
     }
 
     fn warm_part(&self, judging: &Judging, now: Nanos) -> f64 {
@@ -248,7 +250,7 @@
             self.unanswered += picture.answered * self.felt_share;
         }
         let error = self.lost.read(now, SCORE_MEMORY) / (self.tries.read(now, SCORE_MEMORY) + CREDIT);
-        let time = self.answer_time(now, picture.median_time);
+        let time = self.answer_time(now, picture.kind_time);
         let error_score = ((error - picture.common_error) / CRITICAL_ERROR).clamp(0.0, 1.0);
         let time_score = match time {
             Some(time) if picture.median_time > 0.0 => {
@@ -299,6 +301,7 @@
             cap: (warm_part < 1.0).then_some(listed * caution),
             known: ready || now.saturating_sub(self.left_at) < judging.cold_for,
             time: time.filter(|_| self.out_since.is_none()),
+            met: (self.time.sum, self.answered.sum),
             error,
         }
     }
@@ -395,12 +398,19 @@
             median_time: median(ready().filter_map(|s| s.time).collect()),
             common_error: median(ready().map(|s| s.error).collect()),
             answered: std::mem::take(&mut self.answered),
-            share: 0.0,
+            ..Picture::default()
         };
+        let mut kinds: BTreeMap<u16, (f64, f64)> = BTreeMap::new();
+        for standing in self.standings.values() {
+            let sums = kinds.entry(standing.row.kind).or_default();
+            *sums = (sums.0 + standing.met.0, sums.1 + standing.met.1);
+        }
         self.awaited = ids.len();
         for &id in ids {
             let share = self.told.get(&id).map_or(0.0, |weight| weight / total.max(f64::MIN_POSITIVE));
-            post.put(Part::Server(id), Note::Weigh(Picture { share, ..picture }));
+            let kind = self.standings.get(&id).and_then(|standing| kinds.get(&standing.row.kind));
+            let kind_time = kind.filter(|sums| sums.1 > KIND_CREDIT).map_or(0.0, |sums| sums.0 / sums.1);
+            post.put(Part::Server(id), Note::Weigh(Picture { share, kind_time, ..picture }));
         }
         if ids.is_empty() {
             self.conclude(post);
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -63,6 +63,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Picture {
     pub(crate) median_time: f64,
+    /// Mean answer time of servers of its kind; 0 where too little is known.
+    pub(crate) kind_time: f64,
     pub(crate) common_error: f64,
     /// Answers in this batch's reports, all servers together.
     pub(crate) answered: f64,
@@ -91,6 +93,8 @@
     pub(crate) cap: Option<f64>,
     pub(crate) known: bool,
     pub(crate) time: Option<f64>,
+    /// Answers' time and their number, as heard of late.
+    pub(crate) met: (f64, f64),
     pub(crate) error: f64,
 }
 
