Halve the first term of a withdrawn server; kind credit 24

A return at a tenth costs under a hundredth of the traffic, a recovered server left out costs its whole share.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,8 +26,8 @@
 const CRITICAL_TIME: f64 = 3.0;
 /// Past an edge for this long before a band changes.
 const DWELL: Nanos = 3 * SECOND;
-/// A withdrawn server stays out this long the first time.
-const FIRST_TERM: Nanos = 10 * SECOND;
+/// A withdrawn server stays out this long the first time (the page starts from 10 s; a try at a tenth is cheap).
+const FIRST_TERM: Nanos = 5 * SECOND;
 /// Part of its weight with which a server returns.
 const RETURN_LEVEL: f64 = 0.1;
 /// A weight moves only by more than this part of what was told.
@@ -40,11 +40,11 @@
 /// Tries that a server is credited with beforehand: a few bad ones of a heavy tail are no evidence.
 const CREDIT: f64 = 2.0;
 /// Answers that a server's kind stands for when its own time is learned.
-const KIND_CREDIT: f64 = 12.0;
+const KIND_CREDIT: f64 = 24.0;
 /// Answers that other servers' reports led us to expect, none of which came: silence (chance: e^-7).
 const SILENCE: f64 = 7.0;
 /// Answer times are learned over this many score memories, since a capacity changes slower than health.
-const LEARNING: Nanos = 3 * SCORE_MEMORY;
+const LEARNING: Nanos = 2 * SCORE_MEMORY;
 /// The learned factor on a listed weight stays within this and its inverse.
 const FACTOR_BOUND: f64 = 3.0;
 /// Cold servers get this part of what the slowest way of warming up would let them do.
