Give cold servers all that the slowest warming path allows

Now the cap is the pessimistic warming path among ready servers, less the part by which lost tries come again.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -48,7 +48,8 @@
 /// The learned factor on a listed weight stays within this and its inverse.
 const FACTOR_BOUND: f64 = 3.0;
 /// Cold servers get this part of what the slowest way of warming up would let them do.
-const COLD_CAUTION: f64 = 0.7;
+const CAPPED_MOST: f64 = 0.8;
+const COLD_CAUTION: f64 = 1.0;
 /// Fleet-wide share of lost tries above which further tries feed the trouble, and below which they return.
 const FURTHER_CUT: f64 = 0.2;
 const FURTHER_BACK: f64 = 0.1;
@@ -154,8 +155,6 @@
     term: Nanos,
     since: Nanos,
     weighed: Nanos,
-    /// When it was last listed ready.
-    left_at: Nanos,
 }
 
 impl Server {
@@ -177,7 +176,6 @@
             term: FIRST_TERM,
             since: now,
             weighed: now,
-            left_at: 0,
         }
     }
 
@@ -286,10 +284,6 @@
         let warm_part = self.warm_part(judging, now);
         let caution = if warm_part < 1.0 { COLD_CAUTION * warm_part } else { 1.0 };
         let listed = if judging.sizes_told { self.row.weight } else { 1.0 };
-        let ready = self.row.readiness == Readiness::Ready;
-        if ready {
-            self.left_at = now;
-        }
         Standing {
             row: self.row,
             warm: warm_part >= 1.0,
@@ -299,7 +293,6 @@
             weight: listed * self.factor(time, picture.median_time) * band * self.level.min(caution),
             listed,
             cap: (warm_part < 1.0).then_some(listed * caution),
-            known: ready || now.saturating_sub(self.left_at) < judging.cold_for,
             time: time.filter(|_| self.out_since.is_none()),
             met: (self.time.sum, self.answered.sum),
             error,
@@ -469,20 +462,20 @@
     /// Weights of the servers that stay in. A fault that may not be withdrawn keeps the least weight.
     ///
     /// Guards cold servers against the work that others' withdrawals, damping or death send their way: the
-    /// share of a cold one never exceeds what it would be if all servers known of late were in at full
-    /// weight, less the part by which lost tries come again. Where the fleet has shrunk for good it makes
-    /// warming servers take their part a bit later. When tries fail so often, or would on the few warm
+    /// share of a cold one never exceeds what it would be if all ready servers were in at full weight, less
+    /// the part by which lost tries come again. When tries fail so often, or would on the few warm
     /// servers left, that proxies avoid warm servers by themselves, all work would land on the cold: those
     /// wait outside the table, warming by time, as long as a warm one is in.
     fn weights(&mut self, out: &BTreeSet<ServerId>, kept: f64) {
-        let known: f64 = self.standings.values().filter(|s| s.known).map(|s| s.listed).sum::<f64>() / kept;
+        let ready = self.standings.values().filter(|s| s.row.readiness == Readiness::Ready);
+        let known = ready.map(|s| s.listed).sum::<f64>() / kept;
         let inside = |s: &Standing| s.row.readiness == Readiness::Ready && !out.contains(&s.row.server);
         let damped = |s: &Standing| if s.fault.is_some() { RETURN_LEVEL * s.weight } else { s.weight };
         let (cold, warm): (Vec<&Standing>, Vec<&Standing>) =
             self.standings.values().filter(|s| inside(s)).partition(|s| s.cap.is_some());
         let warm_sum: f64 = warm.iter().map(|s| damped(s)).sum();
         let caps: f64 = cold.iter().filter_map(|s| s.cap).sum::<f64>() / known.max(f64::MIN_POSITIVE);
-        let total = if warm_sum > 0.0 { warm_sum / (1.0 - caps.min(COLD_CAUTION)) } else { f64::MAX };
+        let total = if warm_sum > 0.0 { warm_sum / (1.0 - caps.min(CAPPED_MOST)) } else { f64::MAX };
         self.told.extend(warm.iter().map(|s| (s.row.server, damped(s))));
         let warm_part = warm.iter().map(|s| s.listed).sum::<f64>() / (known * kept).max(f64::MIN_POSITIVE);
         let wait = 1.0 - kept > self.avoided_from * warm_part && warm_sum > 0.0;
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -89,9 +89,8 @@
     pub(crate) severity: f64,
     pub(crate) weight: f64,
     pub(crate) listed: f64,
-    /// Most that it may get while cold, beside the listed weights of all servers known of late.
+    /// Most that it may get while cold, beside the listed weights of all ready servers.
     pub(crate) cap: Option<f64>,
-    pub(crate) known: bool,
     pub(crate) time: Option<f64>,
     /// Answers' time and their number, as heard of late.
     pub(crate) met: (f64, f64),
