--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,11 +45,12 @@
 const SILENCE: f64 = 7.0;
 /// Answer times are learned over this many score memories, since a capacity changes slower than health.
 const LEARNING: Nanos = 2 * SCORE_MEMORY;
+/// Power of the answer time ratio in the learned factor: below 1, since slow answers are partly waiting.
+const FACTOR_POWER: f64 = 0.75;
 /// The learned factor on a listed weight stays within this and its inverse.
 const FACTOR_BOUND: f64 = 3.0;
-/// Cold servers get this part of what the slowest way of warming up would let them do.
+/// Cold servers together are reckoned with at most this part of all work.
 const CAPPED_MOST: f64 = 0.8;
-const COLD_CAUTION: f64 = 1.0;
 /// Fleet-wide share of lost tries above which further tries feed the trouble, and below which they return.
 const FURTHER_CUT: f64 = 0.2;
 const FURTHER_BACK: f64 = 0.1;
@@ -127,15 +128,16 @@
     gone_does_not_bind: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Band {
+    #[default]
     Green,
     Yellow,
     Red,
 }
 
 /// One server as this instance's proxies meet it.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Server {
     row: RosterRow,
     tries: Fading,
@@ -161,21 +163,12 @@
     fn new(row: RosterRow, now: Nanos) -> Self {
         Server {
             row,
-            tries: Fading::default(),
-            lost: Fading::default(),
-            answered: Fading::default(),
-            time: Fading::default(),
-            felt_share: 0.0,
-            unanswered: 0.0,
             level: 1.0,
             clean: true,
-            band: Band::Green,
-            edge: None,
-            out_since: None,
-            fault: None,
             term: FIRST_TERM,
             since: now,
             weighed: now,
+            ..Server::default()
         }
     }
 
@@ -282,31 +275,30 @@
                 .clamp(RETURN_LEVEL, 1.0),
         };
         let warm_part = self.warm_part(judging, now);
-        let caution = if warm_part < 1.0 { COLD_CAUTION * warm_part } else { 1.0 };
         let listed = if judging.sizes_told { self.row.weight } else { 1.0 };
+        let mut row = self.row;
+        // Where a list may drop servers wrongly, one that still answers counts as ready.
+        if judging.gone_does_not_bind
+            && row.readiness == Readiness::Gone
+            && self.answered.read(now, LEARNING) > CREDIT
+        {
+            row.readiness = Readiness::Ready;
+        }
         Standing {
-            row: self.row,
+            row,
             warm: warm_part >= 1.0,
             out: self.out_since.is_some(),
             fault: self.fault,
             severity: error_score + time_score + self.unanswered / SILENCE,
-            weight: listed * self.factor(time, picture.median_time) * band * self.level.min(caution),
+            weight: listed * factor(time, picture.median_time) * band * self.level.min(warm_part),
             listed,
-            cap: (warm_part < 1.0).then_some(listed * caution),
+            cap: (warm_part < 1.0).then_some(listed * warm_part),
             time: time.filter(|_| self.out_since.is_none()),
             met: (self.time.sum, self.answered.sum),
             error,
         }
     }
 
-    /// What the list does not tell of its capacity, learned from answer times and bounded.
-    fn factor(&self, time: Option<f64>, median: f64) -> f64 {
-        match time {
-            Some(time) if median > 0.0 => (median / time).powf(0.75).clamp(1.0 / FACTOR_BOUND, FACTOR_BOUND),
-            _ => 1.0,
-        }
-    }
-
     fn settle_band(&mut self, goodness: f64, now: Nanos) {
         let next = match goodness {
             g if g < CRITICAL_GOODNESS => Band::Red,
@@ -336,8 +328,14 @@
     }
 }
 
+/// What the list does not tell of a capacity, learned from answer times and bounded.
+fn factor(time: Option<f64>, median: f64) -> f64 {
+    let ratio = time.filter(|&time| median > 0.0 && time > 0.0).map_or(1.0, |time| median / time);
+    ratio.powf(FACTOR_POWER).clamp(1.0 / FACTOR_BOUND, FACTOR_BOUND)
+}
+
 /// Compares the servers and grants withdrawals.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Fleet {
     standings: BTreeMap<ServerId, Standing>,
     awaited: usize,
@@ -531,7 +529,7 @@
 }
 
 /// Where slices exist: each keeps its recorded server while that one is able, else moves to another.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Slices {
     books: BTreeMap<TableId, Option<ServerId>>,
     /// Slices whose owner was shut out, and since when: writes in hand must end before the next owner.
@@ -596,7 +594,7 @@
 }
 
 /// Figures of the channel, and the account of lines that wait in it.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Pacing {
     lines_per_ns: f64,
     nominal: f64,
@@ -636,7 +634,7 @@
 }
 
 /// Knows what was told to proxies, tells them what changed, and keeps the channel short.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Channel {
     plans: Vec<TablePlan>,
     sliced: bool,
@@ -710,7 +708,7 @@
         let due = now.saturating_sub(self.flushed) >= BATCH_GAP || self.flushed == 0;
         let room = self.pacing.room * ORDINARY_ROOM;
         let fits = waiting + cost <= room || waiting == 0.0;
-        if !urgent && !(due && fits && self.may_write(now, self.pacing.messages_max / 2)) {
+        if !(urgent || due && fits && self.may_write(now, self.pacing.messages_max / 2)) {
             return;
         }
         self.flushed = now;
@@ -816,7 +814,6 @@
     fleet: Fleet,
     slices: Slices,
     channel: Channel,
-    operations: usize,
     beat: Nanos,
     started: bool,
 }
@@ -839,7 +836,6 @@
         let amount = if facts.admission == Admission::Rate { f64::from(u32::MAX) } else { 1.0 };
         let gate = |operation| Gate { operation, amount, further: FurtherTry::AfterProof };
         let gates: Vec<Gate> = (0..facts.operations.len()).map(gate).collect();
-        let settled = facts.in_flight_max + facts.worst_transit;
         Brain {
             post: Post::default(),
             registry: Registry {
@@ -858,27 +854,17 @@
                 gone_does_not_bind: facts.gone_does_not_bind,
             },
             fleet: Fleet {
-                standings: BTreeMap::new(),
-                awaited: 0,
-                answered: 0.0,
-                tries: Fading::default(),
-                lost: Fading::default(),
-                recent: Default::default(),
                 sheddable: sheddable(facts),
-                shed: 0.0,
                 patience: patience(facts),
                 cycle: facts.report_cycle,
-                shed_at: 0,
-                told: BTreeMap::new(),
                 by_locality: home != 0,
                 gates: gates.clone(),
-                general: false,
                 avoided_from: AVOIDED.powf(1.0 / f64::from(facts.fails_to_avoid.max(1))),
+                ..Fleet::default()
             },
             slices: Slices {
-                books: BTreeMap::new(),
-                leaving: BTreeMap::new(),
-                handover: if facts.sole_owner { settled } else { 0 },
+                handover: if facts.sole_owner { facts.in_flight_max + facts.worst_transit } else { 0 },
+                ..Slices::default()
             },
             channel: Channel {
                 plans,
@@ -890,22 +876,13 @@
                     room: facts.backlog,
                     overhead: facts.message_overhead,
                     transit: facts.worst_transit,
-                    waiting: 0.0,
-                    at: 0,
-                    serial: 0,
-                    fenced: BTreeMap::new(),
                     messages_max: facts.messages_max as usize,
                     messages_over: facts.messages_over,
+                    ..Pacing::default()
                 },
-                members: BTreeMap::new(),
-                wants: BTreeMap::new(),
-                told: BTreeMap::new(),
                 gates,
-                gates_told: Vec::new(),
-                slice_lines: Vec::new(),
-                flushed: 0,
+                ..Channel::default()
             },
-            operations: facts.operations.len(),
             beat: facts.report_cycle.clamp(SECOND / 10, SECOND) / 4,
             started: false,
         }
@@ -935,9 +912,6 @@
             Event::Joined { proxy, locality, .. } => (Part::Channel, Note::Joined(proxy, locality)),
             Event::Left { proxy } => (Part::Channel, Note::Left(proxy)),
             Event::Digest(digest) if digest.tries > 0 => (Part::Server(digest.server), Note::Digest(digest)),
-            Event::Intake { operation, total, lost, .. } if usize::from(operation) < self.operations => {
-                (Part::Fleet, Note::Intake { operation, total, lost })
-            }
             Event::Confirmed { serial, took, .. } => (Part::Channel, Note::Confirmed { serial, took }),
             Event::Leased { table, on } => (Part::Slices, Note::Leased(table, on)),
             Event::OnRecord { table, server, .. } => (Part::Slices, Note::OnRecord(table, server)),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -108,15 +108,16 @@
     pub gone_does_not_bind: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Readiness {
+    #[default]
     Gone,
     Ready,
     Draining,
 }
 
 /// One row of the list of servers.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RosterRow {
     pub server: ServerId,
     pub locality: LocalityId,
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -43,7 +43,6 @@
     Digest(Digest),
     Weigh(Picture),
     Held(bool),
-    Intake { operation: u16, total: u32, lost: u32 },
     Met { tries: f64, lost: f64, time: f64 },
     Standing(Standing),
     Beat,
