Shed in larger steps while heat rises, none while it falls

Cause: shedding began at a fiftieth a cycle and went on growing while the queues it had let build were worked off.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -58,7 +58,7 @@
 const PATIENCE: f64 = 0.6;
 /// Most of an operation that is shed, and the most that a report cycle adds.
 const SHED_MOST: f64 = 0.9;
-const SHED_STEP: f64 = 0.2;
+const SHED_STEP: f64 = 0.35;
 /// Heat below which the shed part falls; between it and 1 the part holds.
 const HEAT_LOW: f64 = 0.7;
 /// Chance of as many losses in a row as make a proxy avoid a server, from which avoidance counts as common.
@@ -348,6 +348,7 @@
     sheddable: Vec<usize>,
     /// How much is shed: whole operations, and a part of the next.
     shed: f64,
+    heat: f64,
     patience: f64,
     cycle: Nanos,
     shed_at: Nanos,
@@ -514,9 +515,11 @@
         let heat = (time / (served + CREDIT) / self.patience).max(lost / (tries + CREDIT) / FURTHER_CUT);
         let before = self.shed;
         let most = self.sheddable.len() as f64 - 1.0 + SHED_MOST;
-        let step =
-            SHED_STEP * if heat > 1.0 { (heat - 1.0).min(1.0) } else { 3.0 * (heat - HEAT_LOW).min(0.0) };
-        self.shed = (self.shed + step).clamp(0.0, most);
+        // What waits at servers takes a while to be worked off: no more is shed once heat falls.
+        let rise = if heat > 1.0 && heat >= self.heat { (heat - 1.0).min(1.5) } else { 0.0 };
+        let step = if heat > HEAT_LOW { rise } else { 3.0 * (heat - HEAT_LOW) };
+        self.heat = heat;
+        self.shed = (self.shed + SHED_STEP * step).clamp(0.0, most);
         if before == 0.0 && self.shed > 0.0 {
             post.remark("shedding: answers come late".into());
         } else if before > 0.0 && self.shed == 0.0 {
