--- a/crates/wire/src/profile.rs
+++ b/crates/wire/src/profile.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Deserializer};
 use shalereel::interface::{
-    Admission, Effect, LoadColumn, LoadSource, Nanos, Operation, RepeatScope, StartupFacts,
+    Admission, Effect, ListedSize, LoadColumn, LoadSource, Nanos, Operation, RepeatScope, StartupFacts,
 };
 use thiserror::Error;
 
@@ -54,7 +54,7 @@
     OnRequest,
 }
 
-#[derive(Deserialize, PartialEq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Weights {
     Off,
@@ -209,7 +209,11 @@
         },
         load_columns: columns.collect(),
         probes_allowed: profile.permissions.probes,
-        weights_tell_size: profile.weights != Weights::Off,
+        listed_size: match profile.weights {
+            Weights::Off => ListedSize::Untold,
+            Weights::Nominal => ListedSize::Nominal,
+            Weights::Rough | Weights::Live => ListedSize::Rough,
+        },
         proxies: family.proxies,
         backlog: family.backlog,
         lines_per_s: family.lines_per_s,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -47,6 +47,7 @@
 const LEARNING: Nanos = 2 * SCORE_MEMORY;
 /// Power of the answer time ratio in the learned factor: below 1, since slow answers are partly waiting.
 const FACTOR_POWER: f64 = 0.75;
+const KIND_POWER: f64 = 0.25;
 /// The learned factor on a listed weight stays within this and its inverse.
 const FACTOR_BOUND: f64 = 3.0;
 /// Cold servers together are reckoned with at most this part of all work.
@@ -125,6 +126,7 @@
     /// From an order until reports show what it did, at the longest.
     echo: Nanos,
     sizes_told: bool,
+    kind_power: f64,
     gone_does_not_bind: bool,
 }
 
@@ -290,7 +292,7 @@
             out: self.out_since.is_some(),
             fault: self.fault,
             severity: error_score + time_score + self.unanswered / SILENCE,
-            weight: listed * factor(time, picture.median_time) * band * self.level.min(warm_part),
+            weight: listed * factor(time, &picture, judging.kind_power) * band * self.level.min(warm_part),
             listed,
             cap: (warm_part < 1.0).then_some(listed * warm_part),
             time: time.filter(|_| self.out_since.is_none()),
@@ -328,10 +330,13 @@
     }
 }
 
-/// What the list does not tell of a capacity, learned from answer times and bounded.
-fn factor(time: Option<f64>, median: f64) -> f64 {
-    let ratio = time.filter(|&time| median > 0.0 && time > 0.0).map_or(1.0, |time| median / time);
-    ratio.powf(FACTOR_POWER).clamp(1.0 / FACTOR_BOUND, FACTOR_BOUND)
+/// What the list does not tell of a capacity, learned from answer times and bounded: how a server does among
+/// its kind, and, less where sizes are listed, how its kind does among all.
+fn factor(time: Option<f64>, picture: &Picture, kind_power: f64) -> f64 {
+    let (kind, median) = (picture.kind_time, picture.median_time);
+    let Some(time) = time.filter(|&time| time > 0.0 && kind > 0.0 && median > 0.0) else { return 1.0 };
+    let ratio = (kind / time).powf(FACTOR_POWER) * (median / kind).powf(kind_power);
+    ratio.clamp(1.0 / FACTOR_BOUND, FACTOR_BOUND)
 }
 
 /// Compares the servers and grants withdrawals.
@@ -853,7 +858,8 @@
                 cold_from: facts.cold_from,
                 cold_for: facts.cold_for,
                 echo: (facts.worst_transit + 2 * facts.report_cycle).max(1),
-                sizes_told: facts.weights_tell_size,
+                sizes_told: facts.listed_size == ListedSize::Nominal,
+                kind_power: if facts.listed_size == ListedSize::Nominal { KIND_POWER } else { FACTOR_POWER },
                 gone_does_not_bind: facts.gone_does_not_bind,
             },
             fleet: Fleet {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -65,6 +65,14 @@
     Nowhere,
 }
 
+/// How far a listed weight tells the size of its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListedSize {
+    Untold,
+    Rough,
+    Nominal,
+}
+
 /// Everything that an instance is told at its start.
 #[derive(Clone, Debug)]
 pub struct StartupFacts {
@@ -79,8 +87,7 @@
     pub load_source: LoadSource,
     pub load_columns: Vec<LoadColumn>,
     pub probes_allowed: bool,
-    /// Listed weights tell the size of a server, at least roughly.
-    pub weights_tell_size: bool,
+    pub listed_size: ListedSize,
     pub proxies: u32,
     pub backlog: f64,
     pub lines_per_s: f64,
