--- a/src/brain.rs
+++ b/src/brain.rs
@@ -47,7 +47,7 @@
 const LEARNING: Nanos = 2 * SCORE_MEMORY;
 /// Power of the answer time ratio in the learned factor: below 1, since slow answers are partly waiting.
 const FACTOR_POWER: f64 = 0.75;
-const KIND_POWER: f64 = 0.25;
+const KIND_POWER: f64 = 0.5;
 /// The learned factor on a listed weight stays within this and its inverse.
 const FACTOR_BOUND: f64 = 3.0;
 /// Cold servers together are reckoned with at most this part of all work.
