Set levels from what ready servers have borne instead of stepping

What servers bore for each unit of ready weight is now the limit; it moves by a twentieth a cycle and counts lost and returned servers at once.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -57,11 +57,14 @@
 const FURTHER_BACK: f64 = 0.1;
 /// Mean answer time, as a part of the mean objective, from which the fleet counts as overloaded.
 const PATIENCE: f64 = 0.6;
-/// Most of an operation that is shed, and the most that a report cycle adds.
-const SHED_MOST: f64 = 0.9;
-const SHED_STEP: f64 = 0.35;
-/// Heat below which the shed part falls; between it and 1 the part holds.
+/// While answers are late, no less than this part of what servers bear is let in: what waits is worked off.
+const DRAINING: f64 = 0.7;
+/// What was borne is forgotten, and a limit raised or lowered, by this part each cycle.
+const PEAK_KEPT: f64 = 0.95;
+/// Heat below which a limit is raised; between it and 1 it holds.
 const HEAT_LOW: f64 = 0.7;
+/// Least part of an operation that is let in.
+const LEAST_LEVEL: f64 = 0.1;
 /// Chance of as many losses in a row as make a proxy avoid a server, from which avoidance counts as common.
 const AVOIDED: f64 = 0.01;
 /// Part of the channel's room that ordinary changes and joins may fill; the rest is for withdrawals.
@@ -118,26 +121,6 @@
     }
 }
 
-/// Figures by which a server judges itself.
-#[derive(Clone, Copy, Debug)]
-struct Judging {
-    cold_from: f64,
-    cold_for: Nanos,
-    /// From an order until reports show what it did, at the longest.
-    echo: Nanos,
-    sizes_told: bool,
-    kind_power: f64,
-    gone_does_not_bind: bool,
-}
-
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Band {
-    #[default]
-    Green,
-    Yellow,
-    Red,
-}
-
 /// One server as this instance's proxies meet it.
 #[derive(Debug, Default)]
 struct Server {
@@ -349,14 +332,14 @@
     lost: Fading,
     /// Tries, lost, succeeded and their time over one cycle or so: shedding must not act on old news.
     recent: [Fading; 4],
-    /// Operations that may be shed, the least billed value for its objective first; empty: levels unheeded.
-    sheddable: Vec<usize>,
-    /// How much is shed: whole operations, and a part of the next.
-    shed: f64,
-    heat: f64,
+    /// Where levels are heeded, what comes of each operation, those let in first in front.
+    demands: Vec<Demand>,
+    /// Cost borne in a cycle by a unit of ready weight: the most of late, and what is let in at most.
+    peak: f64,
+    capacity: Option<f64>,
     patience: f64,
     cycle: Nanos,
-    shed_at: Nanos,
+    levelled: Nanos,
     told: BTreeMap<ServerId, f64>,
     by_locality: bool,
     gates: Vec<Gate>,
@@ -376,6 +359,12 @@
                 self.tries.add(post.now, SCORE_MEMORY, tries);
                 self.lost.add(post.now, SCORE_MEMORY, lost);
             }
+            Note::Intake { operation, total, lost } => {
+                for demand in self.demands.iter_mut().filter(|demand| demand.operation == operation) {
+                    demand.came.add(post.now, self.cycle, total);
+                    demand.failed.add(post.now, self.cycle, lost);
+                }
+            }
             Note::Beat => self.ask_all(ids, post),
             Note::Standing(standing) => {
                 self.standings.insert(standing.row.server, standing);
@@ -389,7 +378,7 @@
     }
 
     fn ask_all(&mut self, ids: &[ServerId], post: &mut Post) {
-        let ready = || self.standings.values().filter(|s| s.row.readiness == Readiness::Ready);
+        let ready = || self.standings.values().filter(|s| s.ready());
         let total: f64 = self.told.values().sum();
         let picture = Picture {
             median_time: median(ready().filter_map(|s| s.time).collect()),
@@ -417,8 +406,7 @@
     /// Grants withdrawals, worst first, up to a third of the ready servers, and never the last warm one that
     /// proxies could pick: what a shared cause does to all must not empty the tables.
     fn granted(&self) -> BTreeSet<ServerId> {
-        let ready: Vec<&Standing> =
-            self.standings.values().filter(|s| s.row.readiness == Readiness::Ready).collect();
+        let ready: Vec<&Standing> = self.standings.values().filter(|s| s.ready()).collect();
         let mut suspects: Vec<&&Standing> = ready.iter().filter(|s| s.fault.is_some() || s.out).collect();
         suspects.sort_by(|a, b| {
             b.out.cmp(&a.out).then(b.severity.total_cmp(&a.severity)).then(a.row.server.cmp(&b.row.server))
@@ -442,10 +430,13 @@
         let lost = self.lost.read(post.now, SCORE_MEMORY);
         let lost_share = lost / (self.tries.read(post.now, SCORE_MEMORY) + CREDIT);
         self.told.clear();
+        let inside = self.standings.values().filter(|s| s.ready() && !out.contains(&s.row.server));
+        let able = inside.map(|s| s.cap.unwrap_or(s.listed)).sum();
+        self.set_levels(able, post);
         self.set_gates(lost_share, post);
         self.weights(&out, 1.0 - lost_share);
         for (&id, standing) in &self.standings {
-            let ready = standing.row.readiness == Readiness::Ready;
+            let ready = standing.ready();
             let held = out.contains(&id);
             post.put(Part::Server(id), Note::Held(held));
             let kept = if ready && held { standing.weight } else { 0.0 };
@@ -471,9 +462,9 @@
     /// servers left, that proxies avoid warm servers by themselves, all work would land on the cold: those
     /// wait outside the table, warming by time, as long as a warm one is in.
     fn weights(&mut self, out: &BTreeSet<ServerId>, kept: f64) {
-        let ready = self.standings.values().filter(|s| s.row.readiness == Readiness::Ready);
+        let ready = self.standings.values().filter(|s| s.ready());
         let known = ready.map(|s| s.listed).sum::<f64>() / kept;
-        let inside = |s: &Standing| s.row.readiness == Readiness::Ready && !out.contains(&s.row.server);
+        let inside = |s: &Standing| s.ready() && !out.contains(&s.row.server);
         let damped = |s: &Standing| if s.fault.is_some() { RETURN_LEVEL * s.weight } else { s.weight };
         let (cold, warm): (Vec<&Standing>, Vec<&Standing>) =
             self.standings.values().filter(|s| inside(s)).partition(|s| s.cap.is_some());
@@ -499,41 +490,76 @@
             self.general = true;
             post.remark("further tries cut back: failures are general".into());
         }
-        self.set_shed(post);
         for gate in &mut self.gates {
             gate.further = if self.general { FurtherTry::Never } else { FurtherTry::AfterProof };
         }
         post.put(Part::Channel, Note::Gates(self.gates.clone()));
     }
 
-    /// Where levels are heeded: in overload, sheds what bills least for its objective, and restores gently.
+    /// Where levels are heeded: once answers come late, lets in what the ready servers have shown to bear, the
+    /// highest billed value for its objective first, and feels its way up again.
     ///
     /// Guards against any lack of capacity, whatever its cause: late answers are worth next to nothing and
-    /// cost as much. It could harm where answers are slow for reasons that less work does not mend.
-    fn set_shed(&mut self, post: &mut Post) {
+    /// cost as much. What servers bore is kept for each unit of ready weight, so that losses and returns count
+    /// at once. It could harm where answers are slow for reasons that less work does not mend.
+    fn set_levels(&mut self, ready: f64, post: &mut Post) {
         let now = post.now;
-        if self.sheddable.is_empty() || now.saturating_sub(self.shed_at) < self.cycle {
+        if self.demands.is_empty() || now.saturating_sub(self.levelled) < self.cycle {
             return;
         }
-        self.shed_at = now;
+        self.levelled = now;
         let [tries, lost, served, time] = self.recent.each_mut().map(|sum| sum.read(now, self.cycle));
         let heat = (time / (served + CREDIT) / self.patience).max(lost / (tries + CREDIT) / FURTHER_CUT);
-        let before = self.shed;
-        let most = self.sheddable.len() as f64 - 1.0 + SHED_MOST;
-        // What waits at servers takes a while to be worked off: no more is shed once heat falls.
-        let rise = if heat > 1.0 && heat >= self.heat { (heat - 1.0).min(1.5) } else { 0.0 };
-        let step = if heat > HEAT_LOW { rise } else { 3.0 * (heat - HEAT_LOW) };
-        self.heat = heat;
-        self.shed = (self.shed + SHED_STEP * step).clamp(0.0, most);
-        if before == 0.0 && self.shed > 0.0 {
-            post.remark("shedding: answers come late".into());
-        } else if before > 0.0 && self.shed == 0.0 {
-            post.remark("shedding ends".into());
-        }
-        for (rank, &operation) in self.sheddable.iter().enumerate() {
-            self.gates[operation].amount = 1.0 - (self.shed - rank as f64).clamp(0.0, SHED_MOST);
+        let mut borne = 0.0;
+        for demand in &mut self.demands {
+            let came = demand.came.read(now, self.cycle) * self.gates[demand.operation].amount;
+            borne += demand.cost * (came - demand.failed.read(now, self.cycle)).max(0.0);
+        }
+        self.peak = (borne / ready.max(f64::MIN_POSITIVE)).max(self.peak * PEAK_KEPT);
+        let limited = self.capacity.is_some();
+        self.capacity = match self.capacity {
+            None if heat > 1.0 => Some(self.peak),
+            Some(capacity) if heat > 1.0 => Some(capacity.min(self.peak / PEAK_KEPT) * PEAK_KEPT),
+            Some(capacity) if heat < HEAT_LOW => Some(capacity / PEAK_KEPT),
+            other => other,
+        };
+        let draining = heat.recip().clamp(DRAINING, 1.0);
+        let mut budget = self.capacity.map_or(f64::MAX, |capacity| capacity * ready * draining);
+        let mut all_in = true;
+        for demand in &self.demands {
+            let asked = (demand.cost * demand.came.sum).max(f64::MIN_POSITIVE);
+            let amount = (budget / asked).clamp(LEAST_LEVEL, 1.0);
+            budget = (budget - asked * amount).max(0.0);
+            all_in &= amount >= 1.0;
+            let gate = &mut self.gates[demand.operation];
+            if (gate.amount - amount).abs() > WEIGHT_STEP / 2.0 || amount >= 1.0 {
+                gate.amount = amount;
+            }
         }
+        if all_in && heat < HEAT_LOW {
+            self.capacity = None;
+        }
+        if limited != self.capacity.is_some() {
+            let line = if limited { "shedding ends" } else { "shedding: answers come late" };
+            post.remark(line.into());
+        }
+    }
+}
+
+/// Where levels are heeded, the operations in the order in which they are let in.
+fn demands(facts: &StartupFacts) -> Vec<Demand> {
+    if facts.admission != Admission::Ratio {
+        return Vec::new();
     }
+    let cost = |at: usize| facts.operations[at].latency_objective as f64;
+    let value = |at: usize| facts.operations[at].billed_value / cost(at);
+    let mut order: Vec<usize> = (0..facts.operations.len()).collect();
+    order.sort_by(|&a, &b| value(b).total_cmp(&value(a)));
+    let demand = |operation| {
+        let (came, failed) = Default::default();
+        Demand { operation, cost: cost(operation), came, failed }
+    };
+    order.into_iter().map(demand).collect()
 }
 
 /// Where slices exist: each keeps its recorded server while that one is able, else moves to another.
@@ -587,20 +613,6 @@
     }
 }
 
-/// A table of this instance: for some operations, and for one locality where they may not leave it.
-#[derive(Clone, Debug)]
-struct TablePlan {
-    table: TableId,
-    locality: Option<LocalityId>,
-    operations: OperationMask,
-}
-
-impl TablePlan {
-    fn covers(&self, locality: LocalityId) -> bool {
-        self.locality.is_none_or(|own| own == locality)
-    }
-}
-
 /// Figures of the channel, and the account of lines that wait in it.
 #[derive(Debug, Default)]
 struct Pacing {
@@ -634,13 +646,6 @@
     }
 }
 
-#[derive(Debug)]
-struct Member {
-    locality: LocalityId,
-    installed: bool,
-    written: VecDeque<Nanos>,
-}
-
 /// Knows what was told to proxies, tells them what changed, and keeps the channel short.
 #[derive(Debug, Default)]
 struct Channel {
@@ -863,7 +868,7 @@
                 gone_does_not_bind: facts.gone_does_not_bind,
             },
             fleet: Fleet {
-                sheddable: sheddable(facts),
+                demands: demands(facts),
                 patience: patience(facts),
                 cycle: facts.report_cycle,
                 by_locality: home != 0,
@@ -921,6 +926,10 @@
             Event::Joined { proxy, locality, .. } => (Part::Channel, Note::Joined(proxy, locality)),
             Event::Left { proxy } => (Part::Channel, Note::Left(proxy)),
             Event::Digest(digest) if digest.tries > 0 => (Part::Server(digest.server), Note::Digest(digest)),
+            Event::Intake { operation, total, lost, .. } => {
+                let (total, lost) = (f64::from(total), f64::from(lost));
+                (Part::Fleet, Note::Intake { operation: operation.into(), total, lost })
+            }
             Event::Confirmed { serial, took, .. } => (Part::Channel, Note::Confirmed { serial, took }),
             Event::Leased { table, on } => (Part::Slices, Note::Leased(table, on)),
             Event::OnRecord { table, server, .. } => (Part::Slices, Note::OnRecord(table, server)),
@@ -957,18 +966,6 @@
     }
 }
 
-/// Operations in the order in which they are shed: objectives stand in for work, which no one tells.
-fn sheddable(facts: &StartupFacts) -> Vec<usize> {
-    if facts.admission != Admission::Ratio {
-        return Vec::new();
-    }
-    let dear =
-        |at: &usize| facts.operations[*at].billed_value / facts.operations[*at].latency_objective as f64;
-    let mut order: Vec<usize> = (0..facts.operations.len()).collect();
-    order.sort_by(|a, b| dear(a).total_cmp(&dear(b)));
-    order
-}
-
 /// Mean answer time that still keeps most of the billed value.
 fn patience(facts: &StartupFacts) -> f64 {
     let value: f64 = facts.operations.iter().map(|operation| operation.billed_value).sum();
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -43,6 +43,7 @@
     Digest(Digest),
     Weigh(Picture),
     Held(bool),
+    Intake { operation: usize, total: f64, lost: f64 },
     Met { tries: f64, lost: f64, time: f64 },
     Standing(Standing),
     Beat,
@@ -96,6 +97,12 @@
     pub(crate) error: f64,
 }
 
+impl Standing {
+    pub(crate) fn ready(&self) -> bool {
+        self.row.readiness == Readiness::Ready
+    }
+}
+
 /// What the channel shall see to at the proxies for one server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Want {
@@ -113,6 +120,57 @@
     pub(crate) further: FurtherTry,
 }
 
+/// What came of one operation, and what one invocation of it costs: objectives stand in for work, which no
+/// one tells.
+#[derive(Debug)]
+pub(crate) struct Demand {
+    pub(crate) operation: usize,
+    pub(crate) cost: f64,
+    pub(crate) came: Fading,
+    pub(crate) failed: Fading,
+}
+
+/// A table of this instance: for some operations, and for one locality where they may not leave it.
+#[derive(Clone, Debug)]
+pub(crate) struct TablePlan {
+    pub(crate) table: TableId,
+    pub(crate) locality: Option<LocalityId>,
+    pub(crate) operations: OperationMask,
+}
+
+impl TablePlan {
+    pub(crate) fn covers(&self, locality: LocalityId) -> bool {
+        self.locality.is_none_or(|own| own == locality)
+    }
+}
+
+#[derive(Debug)]
+pub(crate) struct Member {
+    pub(crate) locality: LocalityId,
+    pub(crate) installed: bool,
+    pub(crate) written: VecDeque<Nanos>,
+}
+
+/// Figures by which a server judges itself.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Judging {
+    pub(crate) cold_from: f64,
+    pub(crate) cold_for: Nanos,
+    /// From an order until reports show what it did, at the longest.
+    pub(crate) echo: Nanos,
+    pub(crate) sizes_told: bool,
+    pub(crate) kind_power: f64,
+    pub(crate) gone_does_not_bind: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Band {
+    #[default]
+    Green,
+    Yellow,
+    Red,
+}
+
 /// The inboxes of all parts, and the orders given so far in this batch.
 #[derive(Debug, Default)]
 pub(crate) struct Post {
