--- a/src/brain.rs
+++ b/src/brain.rs
@@ -58,7 +58,7 @@
 /// Mean answer time, as a part of the mean objective, from which the fleet counts as overloaded.
 const PATIENCE: f64 = 0.6;
 /// While answers are late, no less than this part of what servers bear is let in: what waits is worked off.
-const DRAINING: f64 = 0.7;
+const DRAINING: f64 = 0.5;
 /// What was borne is forgotten, and a limit raised or lowered, by this part each cycle.
 const PEAK_KEPT: f64 = 0.95;
 /// Heat below which a limit is raised; between it and 1 it holds.
@@ -337,6 +337,7 @@
     /// Cost borne in a cycle by a unit of ready weight: the most of late, and what is let in at most.
     peak: f64,
     capacity: Option<f64>,
+    heat: f64,
     patience: f64,
     cycle: Nanos,
     levelled: Nanos,
@@ -510,6 +511,8 @@
         self.levelled = now;
         let [tries, lost, served, time] = self.recent.each_mut().map(|sum| sum.read(now, self.cycle));
         let heat = (time / (served + CREDIT) / self.patience).max(lost / (tries + CREDIT) / FURTHER_CUT);
+        // Reports are late: heat is taken as where it will be a cycle on.
+        let heat = 2.0 * heat - std::mem::replace(&mut self.heat, heat);
         let mut borne = 0.0;
         for demand in &mut self.demands {
             let came = demand.came.read(now, self.cycle) * self.gates[demand.operation].amount;
@@ -523,7 +526,7 @@
             Some(capacity) if heat < HEAT_LOW => Some(capacity / PEAK_KEPT),
             other => other,
         };
-        let draining = heat.recip().clamp(DRAINING, 1.0);
+        let draining = heat.max(1.0).powi(-2).max(DRAINING);
         let mut budget = self.capacity.map_or(f64::MAX, |capacity| capacity * ready * draining);
         let mut all_in = true;
         for demand in &self.demands {
