--- a/src/brain.rs
+++ b/src/brain.rs
@@ -56,7 +56,7 @@
 const FURTHER_CUT: f64 = 0.2;
 const FURTHER_BACK: f64 = 0.1;
 /// Mean answer time, as a part of the mean objective, from which the fleet counts as overloaded.
-const PATIENCE: f64 = 0.6;
+const PATIENCE: f64 = 0.65;
 /// While answers are late, no less than this part of what servers bear is let in: what waits is worked off.
 const DRAINING: f64 = 0.5;
 /// What was borne is forgotten, and a limit raised or lowered, by this part each cycle.
@@ -512,7 +512,8 @@
         let [tries, lost, served, time] = self.recent.each_mut().map(|sum| sum.read(now, self.cycle));
         let heat = (time / (served + CREDIT) / self.patience).max(lost / (tries + CREDIT) / FURTHER_CUT);
         // Reports are late: heat is taken as where it will be a cycle on.
-        let heat = 2.0 * heat - std::mem::replace(&mut self.heat, heat);
+        let before = std::mem::replace(&mut self.heat, heat);
+        let heat = if before > 0.0 { 2.0 * heat - before } else { heat };
         let mut borne = 0.0;
         for demand in &mut self.demands {
             let came = demand.came.read(now, self.cycle) * self.gates[demand.operation].amount;
