--- /dev/null
+++ b/crates/wirehost/tests/pipe.rs
@@ -0,0 +1,64 @@
+//! The host as the simulator meets it: bytes in, bytes out, and an exit.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+use rstest::rstest;
+
+const PROFILE: &str = include_str!("profile.json");
+const CLOCK: [u8; 8] = 1_000.0_f64.to_be_bytes();
+
+fn frame(records: &[u8]) -> Vec<u8> {
+    let length = (CLOCK.len() + records.len()) as u32;
+    [&length.to_be_bytes(), &CLOCK[..], records].concat()
+}
+
+fn enlist(profile: &str) -> Vec<u8> {
+    let length = (profile.len() as u32).to_be_bytes();
+    [&[7, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 9][..], &length, profile.as_bytes()].concat()
+}
+
+fn run(input: &[u8]) -> Output {
+    let mut host = Command::new(env!("CARGO_BIN_EXE_shalereel-wirehost"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the host starts");
+    host.stdin.take().expect("piped").write_all(input).expect("the host reads");
+    host.wait_with_output().expect("the host ends")
+}
+
+#[rstest]
+#[case::nothing(&[], &[])]
+#[case::empty_batches(&[frame(&[]), frame(&[])].concat(), &[0; 16])]
+fn input_that_ends_on_a_border_ends_well(#[case] input: &[u8], #[case] reply: &[u8]) {
+    let output = run(input);
+    assert!(output.status.success());
+    assert_eq!(output.stdout, reply);
+}
+
+#[rstest]
+#[case::length(vec![0, 0], "length")]
+#[case::frame(frame(&[])[..9].to_vec(), "8 bytes")]
+#[case::record(frame(&[8, 0, 0, 0, 1]), "record 0 at byte 8")]
+#[case::code(frame(&[200]), "unknown code 200")]
+#[case::not_json(frame(&enlist("ready")), "settings")]
+#[case::key_lacks(frame(&enlist(&PROFILE.replace("cold_from", "warm_from"))), "cold_from")]
+#[case::no_time(frame(&enlist(&PROFILE.replace("9000.0", "-1.0"))), "no span of time")]
+fn malformed_input_is_named_and_answered_by_nothing(#[case] input: Vec<u8>, #[case] named: &str) {
+    let output = run(&input);
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(!output.status.success());
+    assert_eq!(output.stdout, []);
+    assert!(errors.contains(named), "{errors}");
+}
+
+#[rstest]
+fn an_instance_starts_asks_for_the_list_and_may_restart_within_a_batch() {
+    let start = enlist(PROFILE);
+    let output = run(&frame(&[&start[..], &[11, 0, 0, 0, 1], &start].concat()));
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let listens = output.stdout.windows(6).filter(|record| record == &[70, 0, 0, 0, 1, 1]).count();
+    assert_eq!(listens, 1);
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -50,6 +50,8 @@
 const KIND_POWER: f64 = 0.5;
 /// The learned factor on a listed weight stays within this and its inverse.
 const FACTOR_BOUND: f64 = 3.0;
+/// A listed weight beyond this or its inverse is no size.
+const SIZE_BOUND: f64 = 1e6;
 /// Cold servers together are reckoned with at most this part of all work.
 const CAPPED_MOST: f64 = 0.8;
 /// Fleet-wide share of lost tries above which further tries feed the trouble, and below which they return.
@@ -112,9 +114,8 @@
     fn follow(&mut self, rows: Vec<RosterRow>, post: &mut Post) {
         self.failures = 0;
         for mut row in rows {
-            if !(row.weight.is_finite() && row.weight > 0.0) {
-                row.weight = 1.0;
-            }
+            let size = row.weight > 1.0 / SIZE_BOUND && row.weight < SIZE_BOUND;
+            row.weight = if size { row.weight } else { 1.0 };
             self.listed.insert(row.server);
             post.put(Part::Server(row.server), Note::Listed(row));
         }
@@ -452,7 +453,6 @@
         }
         let able: Vec<ServerId> = self.told.keys().copied().collect();
         post.put(Part::Slices, Note::Able(able));
-        post.put(Part::Channel, Note::Flush);
     }
 
     /// Weights of the servers that stay in. A fault that may not be withdrawn keeps the least weight.
@@ -725,7 +725,9 @@
         let due = now.saturating_sub(self.flushed) >= BATCH_GAP || self.flushed == 0;
         let room = self.pacing.room * ORDINARY_ROOM;
         let fits = waiting + cost <= room || waiting == 0.0;
-        if !(urgent || due && fits && self.may_write(now, self.pacing.messages_max / 2)) {
+        // Half of a limit on messages is left to what is urgent.
+        let most = self.pacing.messages_max / if urgent { 1 } else { 2 };
+        if !(urgent || due && fits) || !self.may_write(now, most) {
             return;
         }
         self.flushed = now;
@@ -920,6 +922,8 @@
         self.empty_inboxes();
         self.post.put(Part::Fleet, Note::Beat);
         self.empty_inboxes();
+        self.post.put(Part::Channel, Note::Flush);
+        self.empty_inboxes();
         std::mem::take(&mut self.post.orders)
     }
 
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -1,10 +1,478 @@
-use rstest::rstest;
+use rstest::{fixture, rstest};
 
 use super::*;
 
+const START: Nanos = 1_000 * SECOND;
+
+fn row(server: ServerId) -> RosterRow {
+    RosterRow { server, readiness: Readiness::Ready, weight: 1.0, ..RosterRow::default() }
+}
+
+fn judging() -> Judging {
+    Judging {
+        cold_from: 0.2,
+        cold_for: 10 * SECOND,
+        echo: 2 * SECOND,
+        sizes_told: false,
+        kind_power: FACTOR_POWER,
+        gone_does_not_bind: false,
+    }
+}
+
+fn digest(server: ServerId, tries: u32, lost: u32) -> Digest {
+    let answer_time = if lost < tries { SECOND / 5 } else { 0 };
+    Digest { server, locality: 0, tries, lost, answer_time, window: SECOND, load: Vec::new() }
+}
+
+fn standing(server: ServerId) -> Standing {
+    Standing {
+        row: row(server),
+        warm: true,
+        out: false,
+        fault: None,
+        severity: 0.0,
+        weight: 1.0,
+        listed: 1.0,
+        cap: None,
+        time: None,
+        met: (0.0, 0.0),
+        error: 0.0,
+    }
+}
+
+fn fleet(standings: impl IntoIterator<Item = Standing>) -> Fleet {
+    Fleet {
+        standings: standings.into_iter().map(|s| (s.row.server, s)).collect(),
+        avoided_from: 0.4,
+        ..Fleet::default()
+    }
+}
+
+fn operation(billed_value: f64, objective: Nanos, home_only: bool) -> Operation {
+    Operation {
+        effect: Effect::Idempotent,
+        repeat_scope: RepeatScope::Cell,
+        repeat_window: 0,
+        latency_objective: objective,
+        integration_timeout: 4 * objective,
+        billed_value,
+        home_only,
+        writes: false,
+    }
+}
+
+#[fixture]
+fn facts() -> StartupFacts {
+    StartupFacts {
+        seed: 7,
+        supervisor: 0,
+        supervisors: 1,
+        locality: 0,
+        localities: 2,
+        operations: vec![operation(1.0, 2 * SECOND, false), operation(5.0, SECOND, false)],
+        membership_on_request: false,
+        admission: Admission::Ratio,
+        load_source: LoadSource::Nowhere,
+        load_columns: Vec::new(),
+        probes_allowed: false,
+        listed_size: ListedSize::Nominal,
+        proxies: 2,
+        backlog: 1_000.0,
+        lines_per_s: 1_000.0,
+        message_overhead: 5.0,
+        report_cycle: SECOND,
+        empty_for: 2 * SECOND,
+        first_wait: 1.0,
+        fails_to_avoid: 5,
+        slices: 0,
+        sole_owner: false,
+        tenure: 0,
+        in_flight_max: 4 * SECOND,
+        mean_transit: SECOND / 5,
+        worst_transit: SECOND,
+        messages_max: 0,
+        messages_over: 10 * SECOND,
+        retry_default: 0,
+        ask_every: 10 * SECOND,
+        cold_from: 0.2,
+        cold_for: 10 * SECOND,
+        tip_multiple: 2.5,
+        tip_after: 2 * SECOND,
+        drain_grace: 2 * SECOND,
+        gone_does_not_bind: false,
+    }
+}
+
+fn listed(rows: impl IntoIterator<Item = RosterRow>) -> Event {
+    Event::Roster(RosterNews::Full(rows.into_iter().collect()))
+}
+
+fn joined(proxy: ProxyId) -> Event {
+    Event::Joined { proxy, locality: 0, rate: 1.0, standing_only: true }
+}
+
+/// An instance that knows four servers and has one proxy on its table.
+fn running(facts: &StartupFacts) -> Brain {
+    let mut brain = Brain::new(facts);
+    brain.decide(START, vec![listed((1..5).map(row)), joined(1)]);
+    brain
+}
+
 #[rstest]
 #[case(vec![], 0.0)]
 #[case(vec![3.0, 1.0, 2.0], 2.0)]
 fn median_takes_the_middle(#[case] values: Vec<f64>, #[case] middle: f64) {
     assert_eq!(median(values), middle);
 }
+
+#[rstest]
+fn a_sum_fades_when_read() {
+    let mut sum = Fading::default();
+    sum.add(START, SECOND, 2.0);
+    assert!((sum.read(START + SECOND, SECOND) - 2.0 / std::f64::consts::E).abs() < 1e-9);
+}
+
+#[rstest]
+fn a_server_absent_from_a_whole_list_is_shut_out_and_leaves_the_table(facts: StartupFacts) {
+    let orders = running(&facts).decide(START + SECOND / 10, vec![listed((1..4).map(row))]);
+    assert_eq!(orders[0], Order::Suspend { server: 4, on: true });
+    assert!(orders.contains(&Order::Line { table: 0, server: 4, weight: 0.0 }));
+}
+
+#[rstest]
+fn a_failed_list_call_is_tried_again_within_the_time_after_which_we_are_deemed_told(mut facts: StartupFacts) {
+    facts.membership_on_request = true;
+    let mut brain = Brain::new(&facts);
+    assert!(brain.decide(START, vec![]).contains(&Order::Listen { on: true }));
+    for _ in 0..9 {
+        let orders = brain.decide(START, vec![Event::Roster(RosterNews::Failed)]);
+        let again =
+            |o: &&Order| matches!(o, Order::Remind { span, ctx: LISTEN_AGAIN } if *span <= facts.ask_every);
+        assert_eq!(orders.iter().filter(again).count(), 1);
+    }
+    let orders = brain.decide(START, vec![Event::Fired { ctx: LISTEN_AGAIN }]);
+    assert!(orders.contains(&Order::Listen { on: true }));
+}
+
+#[rstest]
+#[case::few_tries(1, 1, None)]
+#[case::general(40, 4, None)]
+#[case::most_lost(40, 36, Some(Fault::Errors))]
+fn errors_withdraw_only_with_evidence(#[case] tries: u32, #[case] lost: u32, #[case] fault: Option<Fault>) {
+    let mut server = Server::new(row(1), START);
+    server.hear(&digest(1, tries, lost), START, &mut Post::default());
+    assert_eq!(server.weigh(Picture::default(), &judging(), START).fault, fault);
+}
+
+#[rstest]
+fn what_all_servers_lose_is_no_fault_of_one() {
+    let mut server = Server::new(row(1), START);
+    server.hear(&digest(1, 40, 30), START, &mut Post::default());
+    let picture = Picture { common_error: 0.7, ..Picture::default() };
+    assert_eq!(server.weigh(picture, &judging(), START).fault, None);
+}
+
+#[rstest]
+#[case::others_answer(30.0, Some(Fault::Silence))]
+#[case::nothing_heard_of_anyone(0.0, None)]
+fn silence_counts_while_others_are_heard(#[case] answered: f64, #[case] fault: Option<Fault>) {
+    let mut server = Server::new(row(1), START);
+    server.felt_share = 0.25;
+    let picture = Picture { answered, share: 0.25, ..Picture::default() };
+    let standing = server.weigh(picture, &judging(), START + 10 * SECOND);
+    assert_eq!(standing.fault, fault);
+}
+
+#[rstest]
+#[case::silent_answers(Fault::Silence, SECOND, false)]
+#[case::failing_answers(Fault::Errors, SECOND, true)]
+#[case::term_over(Fault::Errors, FIRST_TERM, false)]
+fn a_withdrawn_server_returns_by_answer_or_term(
+    #[case] fault: Fault,
+    #[case] after: Nanos,
+    #[case] still_out: bool,
+) {
+    let mut server = Server::new(row(1), START);
+    server.fault = Some(fault);
+    server.held(true, START, &mut Post::default());
+    server.hear(&digest(1, 4, 1), START + after, &mut Post::default());
+    let standing = server.weigh(Picture::default(), &judging(), START + after);
+    assert_eq!(standing.out, still_out);
+    if !still_out {
+        assert!((standing.weight - RETURN_LEVEL).abs() < 1e-9);
+    }
+}
+
+#[rstest]
+fn a_return_rises_only_over_clean_reports() {
+    let mut server = Server::new(row(1), START);
+    server.come_back(START);
+    let before = server.weigh(Picture::default(), &judging(), START + 3 * SECOND).weight;
+    assert_eq!(before, RETURN_LEVEL);
+    server.hear(&digest(1, 3, 0), START + 3 * SECOND, &mut Post::default());
+    assert!(server.weigh(Picture::default(), &judging(), START + 4 * SECOND).weight > before);
+}
+
+#[rstest]
+#[case::green(0.9, Band::Green)]
+#[case::yellow(0.5, Band::Yellow)]
+#[case::red(0.1, Band::Red)]
+fn a_band_changes_after_its_dwell(#[case] goodness: f64, #[case] band: Band) {
+    let mut server = Server::new(row(1), START);
+    server.settle_band(goodness, START);
+    assert_eq!(server.band, Band::Green);
+    server.settle_band(goodness, START + DWELL);
+    assert_eq!(server.band, band);
+}
+
+#[rstest]
+fn a_slow_server_gets_less_within_its_kind_and_no_less_than_the_bound() {
+    let picture = Picture { median_time: 100.0, kind_time: 100.0, ..Picture::default() };
+    assert_eq!(factor(Some(100.0), &picture, KIND_POWER), 1.0);
+    assert!(factor(Some(200.0), &picture, KIND_POWER) < 1.0);
+    assert_eq!(factor(Some(1e9), &picture, KIND_POWER), 1.0 / FACTOR_BOUND);
+    assert_eq!(factor(None, &picture, KIND_POWER), 1.0);
+}
+
+#[rstest]
+#[case(0, 0.2)]
+#[case(5, 0.6)]
+#[case(10, 1.0)]
+fn a_restarted_server_is_held_to_the_slowest_warming_path(#[case] age: u64, #[case] part: f64) {
+    let mut server = Server::new(row(1), 0);
+    let restarted = RosterRow { ready_at: START, ..row(1) };
+    server.take(Note::Listed(restarted), &judging(), &mut Post { now: START, ..Post::default() });
+    let standing = server.weigh(Picture::default(), &judging(), START + age * SECOND);
+    assert!((standing.weight - part).abs() < 1e-9);
+    assert_eq!(standing.warm, part == 1.0);
+}
+
+#[rstest]
+#[case::only_draining_binds(true, true)]
+#[case::gone_binds(false, false)]
+fn a_dropped_server_that_answers_stays_where_gone_does_not_bind(#[case] free: bool, #[case] ready: bool) {
+    let mut server = Server::new(row(1), START);
+    server.hear(&digest(1, 9, 0), START, &mut Post::default());
+    server.take(Note::Delisted, &judging(), &mut Post::default());
+    let judging = Judging { gone_does_not_bind: free, ..judging() };
+    assert_eq!(server.weigh(Picture::default(), &judging, START).ready(), ready);
+}
+
+#[rstest]
+#[case::a_third_of_nine(9, 9, 3)]
+#[case::all_within_the_cap(9, 2, 2)]
+#[case::never_the_only_one(1, 1, 0)]
+fn withdrawals_stop_at_a_third(#[case] servers: u32, #[case] faulty: u32, #[case] out: usize) {
+    let fault = |id| if id <= faulty { Some(Fault::Errors) } else { None };
+    let fleet = fleet((1..=servers).map(|id| Standing { fault: fault(id), ..standing(id) }));
+    assert_eq!(fleet.granted().len(), out);
+}
+
+#[rstest]
+fn the_last_warm_server_stays_while_the_rest_is_cold() {
+    let cold = (2..10).map(|id| Standing { warm: false, cap: Some(0.2), ..standing(id) });
+    let failing = Standing { fault: Some(Fault::Errors), severity: 2.0, ..standing(1) };
+    assert!(fleet(cold.chain([failing])).granted().is_empty());
+}
+
+#[rstest]
+#[case::sound(1.0)]
+#[case::some_lost(0.9)]
+fn damped_neighbours_send_no_more_to_a_cold_server(#[case] kept: f64) {
+    let damped = (2..10).map(|id| Standing { weight: 0.1, ..standing(id) });
+    let cold = Standing { warm: false, cap: Some(0.3), weight: 0.3, ..standing(1) };
+    let mut fleet = fleet(damped.chain([cold]));
+    fleet.weights(&BTreeSet::new(), kept);
+    let share = fleet.told[&1] / fleet.told.values().sum::<f64>();
+    assert!(share <= 0.3 * kept / 9.0 + 1e-9, "{share}");
+}
+
+#[rstest]
+#[case::avoidance_common(0.5, 8, true)]
+#[case::few_warm_left(0.8, 3, true)]
+#[case::calm(0.95, 8, false)]
+fn cold_servers_wait_while_proxies_avoid_warm_ones(
+    #[case] kept: f64,
+    #[case] warm: u32,
+    #[case] waits: bool,
+) {
+    let warm = (1..=warm).map(standing);
+    let cold = (20..24).map(|id| Standing { warm: false, cap: Some(0.5), ..standing(id) });
+    let mut fleet = fleet(warm.chain(cold));
+    fleet.weights(&BTreeSet::new(), kept);
+    assert_eq!(fleet.told[&20] == 0.0, waits);
+}
+
+#[rstest]
+fn cold_servers_serve_where_no_warm_one_is_left() {
+    let cold = (1..5).map(|id| Standing { warm: false, cap: Some(0.2), ..standing(id) });
+    let mut fleet = fleet(cold);
+    fleet.weights(&BTreeSet::new(), 0.3);
+    assert!(fleet.told.values().all(|&weight| weight > 0.0));
+}
+
+#[rstest]
+fn further_tries_stop_while_failures_are_general_and_come_back_after() {
+    let gate = Gate { operation: 0, amount: 1.0, further: FurtherTry::AfterProof };
+    let mut fleet = Fleet { gates: vec![gate], ..fleet([]) };
+    for (share, further) in [
+        (0.15, FurtherTry::AfterProof),
+        (0.3, FurtherTry::Never),
+        (0.15, FurtherTry::Never),
+        (0.05, FurtherTry::AfterProof),
+    ] {
+        fleet.set_gates(share, &mut Post::default());
+        assert_eq!(fleet.gates[0].further, further);
+    }
+}
+
+/// Levels after two cycles at these mean answer times.
+fn levels(facts: &StartupFacts, times: [Nanos; 2]) -> Vec<f64> {
+    let mut fleet = Brain::new(facts).fleet;
+    let mut post = Post::default();
+    for (cycle, time) in times.into_iter().enumerate() {
+        post.now = START + cycle as u64 * 10 * SECOND;
+        fleet.take(Note::Met { tries: 50.0, lost: 0.0, time: 50.0 * time as f64 }, &[], &mut post);
+        for operation in 0..2 {
+            fleet.take(Note::Intake { operation, total: 25.0, lost: 0.0 }, &[], &mut post);
+        }
+        fleet.set_levels(4.0, &mut post);
+    }
+    fleet.gates.iter().map(|gate| gate.amount).collect()
+}
+
+#[rstest]
+fn late_answers_shed_what_bills_least_for_its_objective(facts: StartupFacts) {
+    let late = levels(&facts, [SECOND / 5, 3 * SECOND]);
+    assert!(late[0] < 0.8 && late[1] == 1.0, "{late:?}");
+}
+
+#[rstest]
+#[case::calm([SECOND / 5, SECOND / 5])]
+#[case::first_reading_is_not_led([0, SECOND / 2])]
+fn calm_answers_let_everything_in(facts: StartupFacts, #[case] times: [Nanos; 2]) {
+    assert_eq!(levels(&facts, times), [1.0, 1.0]);
+}
+
+#[rstest]
+fn levels_stay_whole_where_they_are_not_heeded(mut facts: StartupFacts) {
+    facts.admission = Admission::Ignored;
+    assert_eq!(levels(&facts, [SECOND, 9 * SECOND]), [1.0, 1.0]);
+}
+
+#[rstest]
+fn a_joiner_gets_the_whole_table_at_once(facts: StartupFacts) {
+    let orders = running(&facts).decide(START + 1, vec![joined(2)]);
+    assert!(orders.contains(&Order::Install { proxy: 2, table: 0, operations: 0b11 }));
+    assert!(!orders.iter().any(|order| matches!(order, Order::Line { .. })));
+}
+
+#[rstest]
+fn joins_are_spread_when_the_channel_is_full(mut facts: StartupFacts) {
+    facts.backlog = 40.0;
+    let orders = running(&facts).decide(START + 1, (2..30).map(joined).collect());
+    let installs = orders.iter().filter(|order| matches!(order, Order::Install { .. })).count();
+    assert!(installs < 4, "{installs}");
+}
+
+#[rstest]
+fn own_locality_operations_get_a_table_of_their_own(mut facts: StartupFacts) {
+    facts.operations[1].home_only = true;
+    let mut brain = Brain::new(&facts);
+    let there = RosterRow { locality: 1, ..row(2) };
+    let orders = brain.decide(START, vec![listed([row(1), there]), joined(1)]);
+    assert!(orders.contains(&Order::Install { proxy: 1, table: 0, operations: 0b01 }));
+    assert!(orders.contains(&Order::Install { proxy: 1, table: 1, operations: 0b10 }));
+    assert!(orders.contains(&Order::Line { table: 2, server: 2, weight: 1.0 }));
+    assert!(!orders.contains(&Order::Line { table: 1, server: 2, weight: 1.0 }));
+}
+
+#[rstest]
+#[case::a_twentieth(1.05, false)]
+#[case::a_fifth(1.2, true)]
+fn a_weight_moves_by_more_than_a_tenth(facts: StartupFacts, #[case] weight: f64, #[case] moves: bool) {
+    let mut channel = running(&facts).channel;
+    let want = Want { weight, ..channel.wants[&1] };
+    channel.wants.insert(1, want);
+    assert_eq!(!channel.differing().is_empty(), moves);
+}
+
+#[rstest]
+#[case::ordinary(Readiness::Ready, false)]
+#[case::drain(Readiness::Draining, true)]
+fn only_what_is_urgent_leaves_before_the_next_batch(
+    facts: StartupFacts,
+    #[case] readiness: Readiness,
+    #[case] at_once: bool,
+) {
+    let mut brain = running(&facts);
+    let changed = RosterRow { readiness, weight: 3.0, ..row(1) };
+    let news = vec![Event::Roster(RosterNews::Delta(vec![changed]))];
+    let orders = brain.decide(START + SECOND / 10, news);
+    assert_eq!(orders.iter().any(|order| matches!(order, Order::Suspend { server: 1, on: true })), at_once);
+    let later = brain.decide(START + 2 * SECOND, vec![]);
+    assert_eq!(later.iter().any(|order| matches!(order, Order::Line { server: 1, .. })), !at_once);
+}
+
+#[rstest]
+fn messages_stay_under_their_limit(mut facts: StartupFacts) {
+    (facts.messages_max, facts.messages_over) = (4, 10 * SECOND);
+    let mut brain = running(&facts);
+    let drained = |server| RosterRow { readiness: Readiness::Draining, ..row(server) };
+    let told = |tenth: u64, brain: &mut Brain| {
+        let readiness = if tenth.is_multiple_of(2) { drained(1) } else { row(1) };
+        let news = vec![Event::Roster(RosterNews::Delta(vec![readiness]))];
+        let orders = brain.decide(START + tenth * SECOND / 10, news);
+        orders.iter().any(|order| matches!(order, Order::Suspend { .. } | Order::Line { .. }))
+    };
+    let messages = (1..60).filter(|&tenth| told(tenth, &mut brain)).count();
+    assert!((1..4).contains(&messages), "{messages}");
+}
+
+#[rstest]
+fn late_confirmations_slow_the_account(facts: StartupFacts) {
+    let mut pacing = Brain::new(&facts).channel.pacing;
+    pacing.fenced.insert(1, 100.0);
+    pacing.confirmed(1, facts.worst_transit + SECOND);
+    pacing.waiting = 100.0;
+    pacing.at = START;
+    assert_eq!(pacing.waiting(START + SECOND / 2), 50.0);
+}
+
+#[rstest]
+fn a_slice_keeps_its_server_and_changes_owner_only_after_the_handover() {
+    let mut slices = Slices { handover: 5 * SECOND, ..Slices::default() };
+    let mut post = Post { now: START, ..Post::default() };
+    slices.take(Note::Leased(3, true), &mut post);
+    slices.take(Note::OnRecord(3, 1), &mut post);
+    for (after, able, moved) in [(0, vec![1, 2], false), (1, vec![2], false), (7, vec![2], true)] {
+        post.now = START + after * SECOND;
+        slices.take(Note::Able(able), &mut post);
+        assert_eq!(!post.inboxes.is_empty(), moved);
+    }
+    assert_eq!(slices.books[&3], Some(2));
+}
+
+#[rstest]
+fn identical_events_give_identical_orders(facts: StartupFacts) {
+    let play = || {
+        let mut brain = running(&facts);
+        let heard = |at: u64| (1..5).map(move |id| Event::Digest(digest(id, 9, (at % id as u64) as u32)));
+        (1..40).map(|at| brain.decide(START + at * SECOND, heard(at).collect())).collect::<Vec<_>>()
+    };
+    assert_eq!(play(), play());
+}
+
+#[rstest]
+fn useless_events_give_no_order_that_names_them(facts: StartupFacts) {
+    let events = vec![
+        Event::Digest(digest(99, 5, 5)),
+        Event::Digest(digest(1, 0, 0)),
+        Event::Left { proxy: 77 },
+        Event::Intake { proxy: 1, operation: 9, total: 5, lost: 5, window: 0 },
+        Event::Confirmed { proxy: 77, serial: u64::MAX, took: Nanos::MAX },
+        Event::Probed { server: 99, ending: ProbeEnding::Other, took: 0, load: vec![f64::NAN] },
+        Event::Fired { ctx: u64::MAX },
+    ];
+    assert_eq!(running(&facts).decide(START + 2 * SECOND, events), []);
+}
