--- a/src/brain.rs
+++ b/src/brain.rs
@@ -52,6 +52,8 @@
 const FACTOR_BOUND: f64 = 3.0;
 /// A listed weight beyond this or its inverse is no size.
 const SIZE_BOUND: f64 = 1e6;
+/// Part of the multiple at which it falls over that a cold server may be brought, in work that it can do.
+const TIP_PART: f64 = 0.4;
 /// Cold servers together are reckoned with at most this part of all work.
 const CAPPED_MOST: f64 = 0.8;
 /// Fleet-wide share of lost tries above which further tries feed the trouble, and below which they return.
@@ -210,7 +212,8 @@
         if self.row.ready_at == 0 || age >= judging.cold_for {
             return 1.0;
         }
-        judging.cold_from + (1.0 - judging.cold_from) * age as f64 / judging.cold_for as f64
+        let able = judging.cold_from + (1.0 - judging.cold_from) * age as f64 / judging.cold_for as f64;
+        (able * judging.cold_stretch).min(1.0 - f64::EPSILON)
     }
 
     fn weigh(&mut self, picture: Picture, judging: &Judging, now: Nanos) -> Standing {
@@ -763,7 +766,7 @@
                 self.pacing.fenced.pop_first();
             }
             post.orders.push(Order::FencePost { serial: self.pacing.serial, everyone: false });
-            self.note_written(now);
+            self.members.values_mut().filter(|m| m.installed).for_each(|m| m.written.push_back(now));
         }
     }
 
@@ -784,19 +787,12 @@
 
     fn may_write(&mut self, now: Nanos, most: usize) -> bool {
         let over = self.pacing.messages_over;
-        self.pacing.messages_max == 0
-            || self.members.values_mut().all(|member| {
-                while member.written.front().is_some_and(|&at| now.saturating_sub(at) > over) {
-                    member.written.pop_front();
-                }
-                member.written.len() < most.max(1)
-            })
-    }
-
-    fn note_written(&mut self, now: Nanos) {
-        if self.pacing.messages_max > 0 {
-            self.members.values_mut().filter(|m| m.installed).for_each(|m| m.written.push_back(now));
-        }
+        self.members.values_mut().all(|member| {
+            while member.written.front().is_some_and(|&at| now.saturating_sub(at) > over) {
+                member.written.pop_front();
+            }
+            member.written.len() < most.max(1)
+        })
     }
 
     /// Whole tables for those that joined, as many as the channel has room for.
@@ -852,6 +848,7 @@
                 operations: home,
             }));
         }
+        let cold_stretch = (facts.tip_multiple * TIP_PART).max(1.0);
         let amount = if facts.admission == Admission::Rate { f64::from(u32::MAX) } else { 1.0 };
         let gate = |operation| Gate { operation, amount, further: FurtherTry::AfterProof };
         let gates: Vec<Gate> = (0..facts.operations.len()).map(gate).collect();
@@ -868,6 +865,7 @@
             judging: Judging {
                 cold_from: facts.cold_from,
                 cold_for: facts.cold_for,
+                cold_stretch,
                 echo: (facts.worst_transit + 2 * facts.report_cycle).max(1),
                 sizes_told: facts.listed_size == ListedSize::Nominal,
                 kind_power: if facts.listed_size == ListedSize::Nominal { KIND_POWER } else { FACTOR_POWER },
@@ -879,7 +877,7 @@
                 cycle: facts.report_cycle,
                 by_locality: home != 0,
                 gates: gates.clone(),
-                avoided_from: AVOIDED.powf(1.0 / f64::from(facts.fails_to_avoid.max(1))),
+                avoided_from: AVOIDED.powf(1.0 / f64::from(facts.fails_to_avoid.max(1))) * cold_stretch,
                 ..Fleet::default()
             },
             slices: Slices {
@@ -896,7 +894,11 @@
                     room: facts.backlog,
                     overhead: facts.message_overhead,
                     transit: facts.worst_transit,
-                    messages_max: facts.messages_max as usize,
+                    messages_max: if facts.messages_max > 0 {
+                        facts.messages_max as usize
+                    } else {
+                        usize::MAX
+                    },
                     messages_over: facts.messages_over,
                     ..Pacing::default()
                 },
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -12,6 +12,7 @@
     Judging {
         cold_from: 0.2,
         cold_for: 10 * SECOND,
+        cold_stretch: 1.0,
         echo: 2 * SECOND,
         sizes_told: false,
         kind_power: FACTOR_POWER,
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -156,6 +156,7 @@
 pub(crate) struct Judging {
     pub(crate) cold_from: f64,
     pub(crate) cold_for: Nanos,
+    pub(crate) cold_stretch: f64,
     /// From an order until reports show what it did, at the longest.
     pub(crate) echo: Nanos,
     pub(crate) sizes_told: bool,
