--- a/src/brain.rs
+++ b/src/brain.rs
@@ -71,6 +71,9 @@
 const LEAST_LEVEL: f64 = 0.1;
 /// Chance of as many losses in a row as make a proxy avoid a server, from which avoidance counts as common.
 const AVOIDED: f64 = 0.01;
+/// For so long after a gap in the reports this part of as many losses keeps cold servers waiting.
+const BLIND_FOR: Nanos = 4 * SCORE_MEMORY;
+const BLIND_PART: f64 = 0.5;
 /// Part of the channel's room that ordinary changes and joins may fill; the rest is for withdrawals.
 const ORDINARY_ROOM: f64 = 0.5;
 const JOIN_ROOM: f64 = 0.8;
@@ -232,12 +235,9 @@
         let error = self.lost.read(now, SCORE_MEMORY) / (self.tries.read(now, SCORE_MEMORY) + CREDIT);
         let time = self.answer_time(now, picture.kind_time);
         let error_score = ((error - picture.common_error) / CRITICAL_ERROR).clamp(0.0, 1.0);
-        let time_score = match time {
-            Some(time) if picture.median_time > 0.0 => {
-                ((time / picture.median_time - 1.0) / (CRITICAL_TIME - 1.0)).clamp(0.0, 1.0)
-            }
-            _ => 0.0,
-        };
+        let slower =
+            time.filter(|_| picture.median_time > 0.0).map_or(1.0, |time| time / picture.median_time);
+        let time_score = ((slower - 1.0) / (CRITICAL_TIME - 1.0)).clamp(0.0, 1.0);
         let goodness = 1.0 - (error_score + time_score) / 2.0;
         let fault = if self.unanswered > SILENCE {
             Some(Fault::Silence)
@@ -258,19 +258,14 @@
         } else if fault.is_none() && self.clean {
             self.level = (self.level + elapsed as f64 / SCORE_MEMORY as f64).min(1.0);
         }
-        let band = match self.band {
-            Band::Green => 1.0,
-            _ => ((goodness - CRITICAL_GOODNESS) / (GOOD_GOODNESS - CRITICAL_GOODNESS))
-                .clamp(RETURN_LEVEL, 1.0),
-        };
+        let ratio = (goodness - CRITICAL_GOODNESS) / (GOOD_GOODNESS - CRITICAL_GOODNESS);
+        let band = if self.band == Band::Green { 1.0 } else { ratio.clamp(RETURN_LEVEL, 1.0) };
         let warm_part = self.warm_part(judging, now);
         let listed = if judging.sizes_told { self.row.weight } else { 1.0 };
         let mut row = self.row;
         // Where a list may drop servers wrongly, one that still answers counts as ready.
-        if judging.gone_does_not_bind
-            && row.readiness == Readiness::Gone
-            && self.answered.read(now, LEARNING) > CREDIT
-        {
+        let answers = judging.gone_does_not_bind && self.answered.read(now, LEARNING) > CREDIT;
+        if answers && row.readiness == Readiness::Gone {
             row.readiness = Readiness::Ready;
         }
         Standing {
@@ -332,6 +327,8 @@
     standings: BTreeMap<ServerId, Standing>,
     awaited: usize,
     answered: f64,
+    heard: Nanos,
+    blind_until: Nanos,
     tries: Fading,
     lost: Fading,
     /// Tries, lost, succeeded and their time over one cycle or so: shedding must not act on old news.
@@ -357,6 +354,11 @@
     fn take(&mut self, note: Note, ids: &[ServerId], post: &mut Post) {
         match note {
             Note::Met { tries, lost, time } => {
+                // A gap in the reports shows that they come late, or that this instance stood still.
+                if self.heard > 0 && post.now.saturating_sub(self.heard) > 2 * self.cycle {
+                    self.blind_until = post.now + BLIND_FOR;
+                }
+                self.heard = post.now;
                 self.answered += tries - lost;
                 for (sum, amount) in self.recent.iter_mut().zip([tries, lost, tries - lost, time]) {
                     sum.add(post.now, self.cycle, amount);
@@ -439,12 +441,11 @@
         let able = inside.map(|s| s.cap.unwrap_or(s.listed)).sum();
         self.set_levels(able, post);
         self.set_gates(lost_share, post);
-        self.weights(&out, 1.0 - lost_share);
+        self.weights(&out, 1.0 - lost_share, post.now);
         for (&id, standing) in &self.standings {
-            let ready = standing.ready();
-            let held = out.contains(&id);
+            let (ready, held) = (standing.ready(), out.contains(&id));
             post.put(Part::Server(id), Note::Held(held));
-            let kept = if ready && held { standing.weight } else { 0.0 };
+            let kept = if ready { standing.weight } else { 0.0 };
             let weight = self.told.get(&id).copied().unwrap_or(kept);
             let want = Want {
                 weight,
@@ -464,8 +465,9 @@
     /// share of a cold one never exceeds what it would be if all ready servers were in at full weight, less
     /// the part by which lost tries come again. When tries fail so often, or would on the few warm
     /// servers left, that proxies avoid warm servers by themselves, all work would land on the cold: those
-    /// wait outside the table, warming by time, as long as a warm one is in.
-    fn weights(&mut self, out: &BTreeSet<ServerId>, kept: f64) {
+    /// wait outside the table, warming by time, as long as a warm one is in. Half as many lost tries are
+    /// enough for some time after a gap in the reports: what they tell may be old.
+    fn weights(&mut self, out: &BTreeSet<ServerId>, kept: f64, now: Nanos) {
         let ready = self.standings.values().filter(|s| s.ready());
         let known = ready.map(|s| s.listed).sum::<f64>() / kept;
         let inside = |s: &Standing| s.ready() && !out.contains(&s.row.server);
@@ -477,7 +479,8 @@
         let total = if warm_sum > 0.0 { warm_sum / (1.0 - caps.min(CAPPED_MOST)) } else { f64::MAX };
         self.told.extend(warm.iter().map(|s| (s.row.server, damped(s))));
         let warm_part = warm.iter().map(|s| s.listed).sum::<f64>() / (known * kept).max(f64::MIN_POSITIVE);
-        let wait = 1.0 - kept > self.avoided_from * warm_part && warm_sum > 0.0;
+        let sight = if now < self.blind_until { BLIND_PART } else { 1.0 };
+        let wait = 1.0 - kept > self.avoided_from * warm_part * sight && warm_sum > 0.0;
         let most = |s: &Standing| if wait { 0.0 } else { s.cap.map_or(f64::MAX, |cap| cap / known * total) };
         let capped = |s: &Standing| damped(s).min(most(s));
         self.told.extend(cold.iter().map(|s| (s.row.server, capped(s))));
@@ -562,10 +565,7 @@
     let value = |at: usize| facts.operations[at].billed_value / cost(at);
     let mut order: Vec<usize> = (0..facts.operations.len()).collect();
     order.sort_by(|&a, &b| value(b).total_cmp(&value(a)));
-    let demand = |operation| {
-        let (came, failed) = Default::default();
-        Demand { operation, cost: cost(operation), came, failed }
-    };
+    let demand = |operation| Demand { operation, cost: cost(operation), ..Demand::default() };
     order.into_iter().map(demand).collect()
 }
 
@@ -695,13 +695,12 @@
 
     /// Lines whose standing value differs enough; a weight also moves at once when it falls to or leaves 0.
     fn differing(&self) -> Vec<(ServerId, Want, bool, bool)> {
-        let fresh = Want { weight: 0.0, shut: false, locality: 0, urgent: false };
         let mut changes = Vec::new();
         for (&server, &want) in &self.wants {
-            let told = self.told.get(&server).copied().unwrap_or(fresh);
-            let shut = want.shut != told.shut && (want.shut || told.shut);
-            let line = (want.weight - told.weight).abs() > WEIGHT_STEP * told.weight
-                && !(want.shut && want.weight > 0.0 && told.weight > 0.0);
+            let told = self.told.get(&server).copied().unwrap_or_default();
+            let shut = want.shut != told.shut;
+            let idle = want.shut && want.weight > 0.0 && told.weight > 0.0;
+            let line = !idle && (want.weight - told.weight).abs() > WEIGHT_STEP * told.weight;
             if shut || line {
                 changes.push((server, want, shut, line));
             }
@@ -774,12 +773,10 @@
         for gate in gates {
             let operations = 1 << gate.operation;
             let (amount, further) = (gate.amount, gate.further);
-            let tables = self.plans.iter().filter(|plan| plan.operations & operations != 0);
-            for table in tables.map(|plan| plan.table) {
-                post.orders.push(Order::Gate { table: Some(table), operations, amount, further });
-            }
-            if self.sliced {
-                post.orders.push(Order::Gate { table: None, operations, amount, further });
+            let plans = self.plans.iter().filter(|plan| plan.operations & operations != 0);
+            let all = self.sliced.then_some(None);
+            for table in plans.map(|plan| Some(plan.table)).chain(all) {
+                post.orders.push(Order::Gate { table, operations, amount, further });
             }
         }
         self.gates_told.clone_from(&self.gates);
@@ -797,8 +794,7 @@
 
     /// Whole tables for those that joined, as many as the channel has room for.
     fn joins(&mut self, post: &mut Post) {
-        let open = self.told.values().filter(|told| told.weight > 0.0 && !told.shut).count();
-        if open == 0 {
+        if !self.told.values().any(|told| told.weight > 0.0 && !told.shut) {
             return;
         }
         let lines = (self.told.len() * 2 + self.gates.len() + 1) * self.plans.len().min(2);
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -283,7 +283,7 @@
     let damped = (2..10).map(|id| Standing { weight: 0.1, ..standing(id) });
     let cold = Standing { warm: false, cap: Some(0.3), weight: 0.3, ..standing(1) };
     let mut fleet = fleet(damped.chain([cold]));
-    fleet.weights(&BTreeSet::new(), kept);
+    fleet.weights(&BTreeSet::new(), kept, START);
     let share = fleet.told[&1] / fleet.told.values().sum::<f64>();
     assert!(share <= 0.3 * kept / 9.0 + 1e-9, "{share}");
 }
@@ -300,7 +300,22 @@
     let warm = (1..=warm).map(standing);
     let cold = (20..24).map(|id| Standing { warm: false, cap: Some(0.5), ..standing(id) });
     let mut fleet = fleet(warm.chain(cold));
-    fleet.weights(&BTreeSet::new(), kept);
+    fleet.weights(&BTreeSet::new(), kept, START);
+    assert_eq!(fleet.told[&20] == 0.0, waits);
+}
+
+#[rstest]
+#[case::regular(1, false)]
+#[case::gap(3, true)]
+fn a_gap_in_the_reports_makes_cold_servers_wait_sooner(#[case] gap: u64, #[case] waits: bool) {
+    let warm = (1..=8).map(standing);
+    let cold = Standing { warm: false, cap: Some(0.5), ..standing(20) };
+    let mut fleet = Fleet { cycle: SECOND, ..fleet(warm.chain([cold])) };
+    for now in [START, START + gap * SECOND] {
+        let mut post = Post { now, ..Post::default() };
+        fleet.take(Note::Met { tries: 9.0, lost: 2.0, time: 0.0 }, &[], &mut post);
+    }
+    fleet.weights(&BTreeSet::new(), 0.75, START + 5 * SECOND);
     assert_eq!(fleet.told[&20] == 0.0, waits);
 }
 
@@ -308,7 +323,7 @@
 fn cold_servers_serve_where_no_warm_one_is_left() {
     let cold = (1..5).map(|id| Standing { warm: false, cap: Some(0.2), ..standing(id) });
     let mut fleet = fleet(cold);
-    fleet.weights(&BTreeSet::new(), 0.3);
+    fleet.weights(&BTreeSet::new(), 0.3, START);
     assert!(fleet.told.values().all(|&weight| weight > 0.0));
 }
 
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -104,7 +104,7 @@
 }
 
 /// What the channel shall see to at the proxies for one server.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct Want {
     pub(crate) weight: f64,
     pub(crate) shut: bool,
@@ -122,7 +122,7 @@
 
 /// What came of one operation, and what one invocation of it costs: objectives stand in for work, which no
 /// one tells.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Demand {
     pub(crate) operation: usize,
     pub(crate) cost: f64,
