--- a/src/brain.rs
+++ b/src/brain.rs
@@ -354,8 +354,8 @@
     fn take(&mut self, note: Note, ids: &[ServerId], post: &mut Post) {
         match note {
             Note::Met { tries, lost, time } => {
-                // A gap in the reports shows that they come late, or that this instance stood still.
-                if self.heard > 0 && post.now.saturating_sub(self.heard) > 2 * self.cycle {
+                // A gap in the reports shows that they come late, or that this instance stood still or has just started.
+                if post.now.saturating_sub(self.heard) > 2 * self.cycle {
                     self.blind_until = post.now + BLIND_FOR;
                 }
                 self.heard = post.now;
@@ -441,7 +441,8 @@
         let able = inside.map(|s| s.cap.unwrap_or(s.listed)).sum();
         self.set_levels(able, post);
         self.set_gates(lost_share, post);
-        self.weights(&out, 1.0 - lost_share, post.now);
+        let [tries, lost, ..] = self.recent.each_mut().map(|sum| sum.read(post.now, self.cycle));
+        self.weights(&out, 1.0 - lost_share.max(lost / (tries + CREDIT)), post.now);
         for (&id, standing) in &self.standings {
             let (ready, held) = (standing.ready(), out.contains(&id));
             post.put(Part::Server(id), Note::Held(held));
@@ -466,7 +467,8 @@
     /// the part by which lost tries come again. When tries fail so often, or would on the few warm
     /// servers left, that proxies avoid warm servers by themselves, all work would land on the cold: those
     /// wait outside the table, warming by time, as long as a warm one is in. Half as many lost tries are
-    /// enough for some time after a gap in the reports: what they tell may be old.
+    /// enough for some time after a gap in the reports: what they tell may be old. An instance that has
+    /// heard nothing since its start lets them wait too.
     fn weights(&mut self, out: &BTreeSet<ServerId>, kept: f64, now: Nanos) {
         let ready = self.standings.values().filter(|s| s.ready());
         let known = ready.map(|s| s.listed).sum::<f64>() / kept;
@@ -480,7 +482,8 @@
         self.told.extend(warm.iter().map(|s| (s.row.server, damped(s))));
         let warm_part = warm.iter().map(|s| s.listed).sum::<f64>() / (known * kept).max(f64::MIN_POSITIVE);
         let sight = if now < self.blind_until { BLIND_PART } else { 1.0 };
-        let wait = 1.0 - kept > self.avoided_from * warm_part * sight && warm_sum > 0.0;
+        let worried = self.heard == 0 || 1.0 - kept > self.avoided_from * warm_part * sight;
+        let wait = worried && warm_sum > 0.0;
         let most = |s: &Standing| if wait { 0.0 } else { s.cap.map_or(f64::MAX, |cap| cap / known * total) };
         let capped = |s: &Standing| damped(s).min(most(s));
         self.told.extend(cold.iter().map(|s| (s.row.server, capped(s))));
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -45,6 +45,7 @@
     Fleet {
         standings: standings.into_iter().map(|s| (s.row.server, s)).collect(),
         avoided_from: 0.4,
+        heard: START,
         ..Fleet::default()
     }
 }
@@ -289,28 +290,35 @@
 }
 
 #[rstest]
-#[case::avoidance_common(0.5, 8, true)]
-#[case::few_warm_left(0.8, 3, true)]
-#[case::calm(0.95, 8, false)]
+#[case::avoidance_common(0.5, 8, START, true)]
+#[case::few_warm_left(0.8, 3, START, true)]
+#[case::nothing_heard_since_the_start(1.0, 8, 0, true)]
+#[case::calm(0.95, 8, START, false)]
 fn cold_servers_wait_while_proxies_avoid_warm_ones(
     #[case] kept: f64,
     #[case] warm: u32,
+    #[case] heard: Nanos,
     #[case] waits: bool,
 ) {
     let warm = (1..=warm).map(standing);
     let cold = (20..24).map(|id| Standing { warm: false, cap: Some(0.5), ..standing(id) });
-    let mut fleet = fleet(warm.chain(cold));
+    let mut fleet = Fleet { heard, ..fleet(warm.chain(cold)) };
     fleet.weights(&BTreeSet::new(), kept, START);
     assert_eq!(fleet.told[&20] == 0.0, waits);
 }
 
 #[rstest]
-#[case::regular(1, false)]
-#[case::gap(3, true)]
-fn a_gap_in_the_reports_makes_cold_servers_wait_sooner(#[case] gap: u64, #[case] waits: bool) {
+#[case::regular(START, 1, false)]
+#[case::gap(START, 3, true)]
+#[case::first_reports(0, 1, true)]
+fn a_gap_in_the_reports_makes_cold_servers_wait_sooner(
+    #[case] heard: Nanos,
+    #[case] gap: u64,
+    #[case] waits: bool,
+) {
     let warm = (1..=8).map(standing);
     let cold = Standing { warm: false, cap: Some(0.5), ..standing(20) };
-    let mut fleet = Fleet { cycle: SECOND, ..fleet(warm.chain([cold])) };
+    let mut fleet = Fleet { cycle: SECOND, heard, ..fleet(warm.chain([cold])) };
     for now in [START, START + gap * SECOND] {
         let mut post = Post { now, ..Post::default() };
         fleet.take(Note::Met { tries: 9.0, lost: 2.0, time: 0.0 }, &[], &mut post);
