Let fewer losses keep cold servers waiting in a gap of the reports

In a gap three tenths of the losses suffice, before anything is heard after a start cold servers wait outright.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -71,9 +71,10 @@
 const LEAST_LEVEL: f64 = 0.1;
 /// Chance of as many losses in a row as make a proxy avoid a server, from which avoidance counts as common.
 const AVOIDED: f64 = 0.01;
-/// For so long after a gap in the reports this part of as many losses keeps cold servers waiting.
+/// For so long after a gap in the reports, and in it, these parts of as many losses keep cold servers waiting.
 const BLIND_FOR: Nanos = 4 * SCORE_MEMORY;
 const BLIND_PART: f64 = 0.5;
+const GAP_PART: f64 = 0.3;
 /// Part of the channel's room that ordinary changes and joins may fill; the rest is for withdrawals.
 const ORDINARY_ROOM: f64 = 0.5;
 const JOIN_ROOM: f64 = 0.8;
@@ -464,11 +465,10 @@
     ///
     /// Guards cold servers against the work that others' withdrawals, damping or death send their way: the
     /// share of a cold one never exceeds what it would be if all ready servers were in at full weight, less
-    /// the part by which lost tries come again. When tries fail so often, or would on the few warm
-    /// servers left, that proxies avoid warm servers by themselves, all work would land on the cold: those
-    /// wait outside the table, warming by time, as long as a warm one is in. Half as many lost tries are
-    /// enough for some time after a gap in the reports: what they tell may be old. An instance that has
-    /// heard nothing since its start lets them wait too.
+    /// the part by which lost tries come again. When tries fail so often, or would on the few warm servers
+    /// left, that proxies avoid these by themselves, all work would land on the cold: those wait outside the
+    /// table, warming by time, as long as a warm one is in. Fewer lost tries are enough where what is known
+    /// may be old. It costs capacity whenever losses have another cause.
     fn weights(&mut self, out: &BTreeSet<ServerId>, kept: f64, now: Nanos) {
         let ready = self.standings.values().filter(|s| s.ready());
         let known = ready.map(|s| s.listed).sum::<f64>() / kept;
@@ -481,9 +481,13 @@
         let total = if warm_sum > 0.0 { warm_sum / (1.0 - caps.min(CAPPED_MOST)) } else { f64::MAX };
         self.told.extend(warm.iter().map(|s| (s.row.server, damped(s))));
         let warm_part = warm.iter().map(|s| s.listed).sum::<f64>() / (known * kept).max(f64::MIN_POSITIVE);
-        let sight = if now < self.blind_until { BLIND_PART } else { 1.0 };
-        let worried = self.heard == 0 || 1.0 - kept > self.avoided_from * warm_part * sight;
-        let wait = worried && warm_sum > 0.0;
+        let sight = match now.saturating_sub(self.heard) {
+            _ if self.heard == 0 => 0.0,
+            gap if gap > 2 * self.cycle => GAP_PART,
+            _ if now < self.blind_until => BLIND_PART,
+            _ => 1.0,
+        };
+        let wait = 1.0 - kept >= self.avoided_from * warm_part * sight && warm_sum > 0.0;
         let most = |s: &Standing| if wait { 0.0 } else { s.cap.map_or(f64::MAX, |cap| cap / known * total) };
         let capped = |s: &Standing| damped(s).min(most(s));
         self.told.extend(cold.iter().map(|s| (s.row.server, capped(s))));
@@ -493,12 +497,11 @@
     /// off to be repeated elsewhere cost more work than they save. When failures are general even those
     /// only feed the load, and bring cold servers what the warm turned away.
     fn set_gates(&mut self, share: f64, post: &mut Post) {
-        if self.general && share < FURTHER_BACK {
-            self.general = false;
-            post.remark("further tries restored".into());
-        } else if !self.general && share > FURTHER_CUT {
-            self.general = true;
-            post.remark("further tries cut back: failures are general".into());
+        let before = self.general;
+        self.general = share > if before { FURTHER_BACK } else { FURTHER_CUT };
+        if before != self.general {
+            let line = ["further tries restored", "further tries cut back: failures are general"];
+            post.remark(line[usize::from(self.general)].into());
         }
         for gate in &mut self.gates {
             gate.further = if self.general { FurtherTry::Never } else { FurtherTry::AfterProof };
@@ -553,8 +556,7 @@
             self.capacity = None;
         }
         if limited != self.capacity.is_some() {
-            let line = if limited { "shedding ends" } else { "shedding: answers come late" };
-            post.remark(line.into());
+            post.remark(if limited { "shedding ends" } else { "shedding: answers come late" }.into());
         }
     }
 }
@@ -728,8 +730,7 @@
         let cost = readers * (self.pacing.overhead + lines);
         let waiting = self.pacing.waiting(now);
         let due = now.saturating_sub(self.flushed) >= BATCH_GAP || self.flushed == 0;
-        let room = self.pacing.room * ORDINARY_ROOM;
-        let fits = waiting + cost <= room || waiting == 0.0;
+        let fits = waiting + cost <= self.pacing.room * ORDINARY_ROOM || waiting == 0.0;
         // Half of a limit on messages is left to what is urgent.
         let most = self.pacing.messages_max / if urgent { 1 } else { 2 };
         if !(urgent || due && fits) || !self.may_write(now, most) {
@@ -764,9 +765,7 @@
             self.pacing.waiting += cost;
             self.pacing.serial = self.pacing.serial.wrapping_add(1);
             self.pacing.fenced.insert(self.pacing.serial.into(), self.pacing.waiting);
-            while self.pacing.fenced.len() > 16 {
-                self.pacing.fenced.pop_first();
-            }
+            self.pacing.fenced.retain(|&serial, _| serial + 16 > self.pacing.serial.into());
             post.orders.push(Order::FencePost { serial: self.pacing.serial, everyone: false });
             self.members.values_mut().filter(|m| m.installed).for_each(|m| m.written.push_back(now));
         }
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -45,6 +45,7 @@
     Fleet {
         standings: standings.into_iter().map(|s| (s.row.server, s)).collect(),
         avoided_from: 0.4,
+        cycle: 10 * SECOND,
         heard: START,
         ..Fleet::default()
     }
@@ -323,7 +324,7 @@
         let mut post = Post { now, ..Post::default() };
         fleet.take(Note::Met { tries: 9.0, lost: 2.0, time: 0.0 }, &[], &mut post);
     }
-    fleet.weights(&BTreeSet::new(), 0.75, START + 5 * SECOND);
+    fleet.weights(&BTreeSet::new(), 0.75, START + gap * SECOND);
     assert_eq!(fleet.told[&20] == 0.0, waits);
 }
 
