--- a/src/brain.rs
+++ b/src/brain.rs
@@ -54,8 +54,6 @@
 const SIZE_BOUND: f64 = 1e6;
 /// Part of the multiple at which it falls over that a cold server may be brought, in work that it can do.
 const TIP_PART: f64 = 0.4;
-/// Cold servers together are reckoned with at most this part of all work.
-const CAPPED_MOST: f64 = 0.8;
 /// Fleet-wide share of lost tries above which further tries feed the trouble, and below which they return.
 const FURTHER_CUT: f64 = 0.2;
 const FURTHER_BACK: f64 = 0.1;
@@ -197,9 +195,7 @@
             self.answered.add(now, LEARNING, answered);
             self.time.add(now, LEARNING, time);
         }
-        if answered > 0.0 {
-            self.unanswered = -1.0;
-        }
+        self.unanswered = if answered > 0.0 { -1.0 } else { self.unanswered };
         self.clean = answered > lost;
         post.put(Part::Fleet, Note::Met { tries, lost, time });
     }
@@ -330,6 +326,8 @@
     answered: f64,
     heard: Nanos,
     blind_until: Nanos,
+    blind_part: f64,
+    tip_after: Nanos,
     tries: Fading,
     lost: Fading,
     /// Tries, lost, succeeded and their time over one cycle or so: shedding must not act on old news.
@@ -356,8 +354,11 @@
         match note {
             Note::Met { tries, lost, time } => {
                 // A gap in the reports shows that they come late, or that this instance stood still or has just started.
-                if post.now.saturating_sub(self.heard) > 2 * self.cycle {
+                let gap = post.now.saturating_sub(self.heard);
+                if gap > 2 * self.cycle {
                     self.blind_until = post.now + BLIND_FOR;
+                    let tips_unseen = self.heard > 0 && gap > 2 * self.cycle + self.tip_after;
+                    self.blind_part = if tips_unseen { 0.0 } else { BLIND_PART };
                 }
                 self.heard = post.now;
                 self.answered += tries - lost;
@@ -478,13 +479,13 @@
             self.standings.values().filter(|s| inside(s)).partition(|s| s.cap.is_some());
         let warm_sum: f64 = warm.iter().map(|s| damped(s)).sum();
         let caps: f64 = cold.iter().filter_map(|s| s.cap).sum::<f64>() / known.max(f64::MIN_POSITIVE);
-        let total = if warm_sum > 0.0 { warm_sum / (1.0 - caps.min(CAPPED_MOST)) } else { f64::MAX };
+        let total = if warm_sum > 0.0 { warm_sum / (1.0 - caps) } else { f64::MAX };
         self.told.extend(warm.iter().map(|s| (s.row.server, damped(s))));
         let warm_part = warm.iter().map(|s| s.listed).sum::<f64>() / (known * kept).max(f64::MIN_POSITIVE);
         let sight = match now.saturating_sub(self.heard) {
             _ if self.heard == 0 => 0.0,
             gap if gap > 2 * self.cycle => GAP_PART,
-            _ if now < self.blind_until => BLIND_PART,
+            _ if now < self.blind_until => self.blind_part,
             _ => 1.0,
         };
         let wait = 1.0 - kept >= self.avoided_from * warm_part * sight && warm_sum > 0.0;
@@ -873,6 +874,7 @@
                 demands: demands(facts),
                 patience: patience(facts),
                 cycle: facts.report_cycle,
+                tip_after: facts.tip_after,
                 by_locality: home != 0,
                 gates: gates.clone(),
                 avoided_from: AVOIDED.powf(1.0 / f64::from(facts.fails_to_avoid.max(1))) * cold_stretch,
