Let what the list took away keep cold servers waiting sooner

The warm part is now taken of the usual ready weight, and under two fifths of it half of the losses suffice. It costs where a fleet shrinks while servers start.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -73,6 +73,8 @@
 const BLIND_FOR: Nanos = 4 * SCORE_MEMORY;
 const BLIND_PART: f64 = 0.5;
 const GAP_PART: f64 = 0.3;
+/// With less than this part of the usual ready weight warm, the warm are about to jam.
+const WARM_LEAST: f64 = 0.4;
 /// Part of the channel's room that ordinary changes and joins may fill; the rest is for withdrawals.
 const ORDINARY_ROOM: f64 = 0.5;
 const JOIN_ROOM: f64 = 0.8;
@@ -325,6 +327,7 @@
     awaited: usize,
     answered: f64,
     heard: Nanos,
+    usual: Fading,
     blind_until: Nanos,
     blind_part: f64,
     tip_after: Nanos,
@@ -481,11 +484,14 @@
         let caps: f64 = cold.iter().filter_map(|s| s.cap).sum::<f64>() / known.max(f64::MIN_POSITIVE);
         let total = if warm_sum > 0.0 { warm_sum / (1.0 - caps) } else { f64::MAX };
         self.told.extend(warm.iter().map(|s| (s.row.server, damped(s))));
-        let warm_part = warm.iter().map(|s| s.listed).sum::<f64>() / (known * kept).max(f64::MIN_POSITIVE);
+        // What the list has taken away tells of a jam before any report does.
+        self.usual.sum = self.usual.read(now, 2 * BLIND_FOR).max(known * kept);
+        let warm_part = warm.iter().map(|s| s.listed).sum::<f64>() / self.usual.sum;
         let sight = match now.saturating_sub(self.heard) {
             _ if self.heard == 0 => 0.0,
             gap if gap > 2 * self.cycle => GAP_PART,
             _ if now < self.blind_until => self.blind_part,
+            _ if warm_part < WARM_LEAST => BLIND_PART,
             _ => 1.0,
         };
         let wait = 1.0 - kept >= self.avoided_from * warm_part * sight && warm_sum > 0.0;
@@ -587,16 +593,12 @@
 impl Slices {
     fn take(&mut self, note: Note, post: &mut Post) {
         match note {
-            Note::Leased(table, true) => {
-                self.books.insert(table, None);
-            }
+            Note::Leased(table, true) => drop(self.books.insert(table, None)),
             Note::Leased(table, false) => {
                 self.books.remove(&table);
                 self.leaving.remove(&table);
             }
-            Note::OnRecord(table, server) => {
-                self.books.insert(table, Some(server));
-            }
+            Note::OnRecord(table, server) => drop(self.books.insert(table, Some(server))),
             Note::Able(able) => self.place(&able, post),
             _ => {}
         }
@@ -678,17 +680,13 @@
 impl Channel {
     fn take(&mut self, note: Note, post: &mut Post) {
         match note {
-            Note::Want(server, want) => {
-                self.wants.insert(server, want);
-            }
+            Note::Want(server, want) => drop(self.wants.insert(server, want)),
             Note::Gates(gates) => self.gates = gates,
             Note::Joined(proxy, locality) => {
                 let written = VecDeque::new();
                 self.members.insert(proxy, Member { locality, installed: self.sliced, written });
             }
-            Note::Left(proxy) => {
-                self.members.remove(&proxy);
-            }
+            Note::Left(proxy) => drop(self.members.remove(&proxy)),
             Note::Confirmed { serial, took } => self.pacing.confirmed(serial, took),
             Note::SliceLines(lines) => self.slice_lines.extend(lines),
             Note::Flush => {
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -328,6 +328,18 @@
     assert_eq!(fleet.told[&20] == 0.0, waits);
 }
 
+#[rstest]
+#[case::most_still_listed(10, false)]
+#[case::most_taken_away(30, true)]
+fn cold_servers_wait_sooner_where_the_list_took_most_away(#[case] usual: u32, #[case] waits: bool) {
+    let warm = (1..=8).map(standing);
+    let cold = Standing { warm: false, cap: Some(0.5), ..standing(40) };
+    let mut fleet = fleet(warm.chain([cold]));
+    fleet.usual.add(START, SECOND, f64::from(usual));
+    fleet.weights(&BTreeSet::new(), 0.9, START);
+    assert_eq!(fleet.told[&40] == 0.0, waits);
+}
+
 #[rstest]
 fn cold_servers_serve_where_no_warm_one_is_left() {
     let cold = (1..5).map(|id| Standing { warm: false, cap: Some(0.2), ..standing(id) });
