Never limit below what was just borne without heat

It could harm where late answers hide that what was borne was too much: heat then lowers the limit again.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -538,13 +538,14 @@
             let came = demand.came.read(now, self.cycle) * self.gates[demand.operation].amount;
             borne += demand.cost * (came - demand.failed.read(now, self.cycle)).max(0.0);
         }
-        self.peak = (borne / ready.max(f64::MIN_POSITIVE)).max(self.peak * PEAK_KEPT);
+        let borne = borne / ready.max(f64::MIN_POSITIVE);
+        self.peak = borne.max(self.peak * PEAK_KEPT);
         let limited = self.capacity.is_some();
         self.capacity = match self.capacity {
             None if heat > 1.0 => Some(self.peak),
             Some(capacity) if heat > 1.0 => Some(capacity.min(self.peak / PEAK_KEPT) * PEAK_KEPT),
-            Some(capacity) if heat < HEAT_LOW => Some(capacity / PEAK_KEPT),
-            other => other,
+            Some(capacity) if heat < HEAT_LOW => Some(borne.max(capacity / PEAK_KEPT)),
+            other => other.map(|capacity| capacity.max(borne)),
         };
         let draining = heat.max(1.0).powi(-2).max(DRAINING);
         let mut budget = self.capacity.map_or(f64::MAX, |capacity| capacity * ready * draining);
