Withdraw only for silence while failures are general

Guards the capacity of a jammed fleet: errors and slowness of a server are then mostly want of capacity, whatever its cause. It leaves servers in that fail fast during a jam, at a damped weight.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -240,6 +240,8 @@
         let goodness = 1.0 - (error_score + time_score) / 2.0;
         let fault = if self.unanswered > SILENCE {
             Some(Fault::Silence)
+        } else if picture.general {
+            None
         } else if error_score >= 1.0 {
             Some(Fault::Errors)
         } else {
@@ -396,6 +398,7 @@
             median_time: median(ready().filter_map(|s| s.time).collect()),
             common_error: median(ready().map(|s| s.error).collect()),
             answered: std::mem::take(&mut self.answered),
+            general: self.general,
             ..Picture::default()
         };
         let mut kinds: BTreeMap<u16, (f64, f64)> = BTreeMap::new();
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -175,6 +175,14 @@
     assert_eq!(server.weigh(picture, &judging(), START).fault, None);
 }
 
+#[rstest]
+fn errors_are_no_ones_fault_while_failures_are_general() {
+    let mut server = Server::new(row(1), START);
+    server.hear(&digest(1, 40, 36), START, &mut Post::default());
+    let picture = Picture { general: true, ..Picture::default() };
+    assert_eq!(server.weigh(picture, &judging(), START).fault, None);
+}
+
 #[rstest]
 #[case::others_answer(30.0, Some(Fault::Silence))]
 #[case::nothing_heard_of_anyone(0.0, None)]
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -66,6 +66,8 @@
     /// Mean answer time of servers of its kind; 0 where too little is known.
     pub(crate) kind_time: f64,
     pub(crate) common_error: f64,
+    /// Failures are general: errors and slowness are then lack of capacity, not one server's fault.
+    pub(crate) general: bool,
     /// Answers in this batch's reports, all servers together.
     pub(crate) answered: f64,
     /// This server's part of all weight told to proxies.
