--- a/src/brain.rs
+++ b/src/brain.rs
@@ -702,7 +702,7 @@
     }
 
     /// Lines whose standing value differs enough; a weight also moves at once when it falls to or leaves 0.
-    fn differing(&self) -> Vec<(ServerId, Want, bool, bool)> {
+    fn differing(&self) -> Vec<Change> {
         let mut changes = Vec::new();
         for (&server, &want) in &self.wants {
             let told = self.told.get(&server).copied().unwrap_or_default();
@@ -710,7 +710,7 @@
             let idle = want.shut && want.weight > 0.0 && told.weight > 0.0;
             let line = !idle && (want.weight - told.weight).abs() > WEIGHT_STEP * told.weight;
             if shut || line {
-                changes.push((server, want, shut, line));
+                changes.push(Change { server, want, shut, line });
             }
         }
         changes
@@ -724,7 +724,7 @@
             return;
         }
         // Drained or gone servers must be left, and cold ones kept from a full share, whatever else waits.
-        let urgent = changes.iter().any(|(server, want, shut, _)| {
+        let urgent = changes.iter().any(|Change { server, want, shut, .. }| {
             let heavier = self.told.get(server).map_or(0.0, |told| told.weight) > want.weight;
             want.urgent && ((*shut && want.shut) || (heavier && !want.shut))
         });
@@ -740,15 +740,14 @@
             return;
         }
         self.flushed = now;
-        for &(server, want, shut, _) in &changes {
-            if shut && want.shut {
-                post.orders.push(Order::Suspend { server, on: true });
-            }
-        }
-        for &(server, want, _, line) in &changes {
-            for plan in self.plans.iter().filter(|plan| line && plan.covers(want.locality)) {
-                let table = plan.table;
-                post.orders.push(Order::Line { table, server, weight: want.weight });
+        let suspend = |on: bool| {
+            let turned = changes.iter().filter(move |change| change.shut && change.want.shut == on);
+            turned.map(move |change| Order::Suspend { server: change.server, on })
+        };
+        post.orders.extend(suspend(true));
+        for &Change { server, want, .. } in changes.iter().filter(|change| change.line) {
+            for plan in self.plans.iter().filter(|plan| plan.covers(want.locality)) {
+                post.orders.push(Order::Line { table: plan.table, server, weight: want.weight });
             }
         }
         for (table, server, weight) in std::mem::take(&mut self.slice_lines) {
@@ -756,12 +755,10 @@
                 post.orders.push(Order::Line { table, server, weight });
             }
         }
-        for &(server, want, shut, line) in &changes {
-            if shut && !want.shut {
-                post.orders.push(Order::Suspend { server, on: false });
-            }
-            let weight = if line { want.weight } else { self.told.get(&server).map_or(0.0, |t| t.weight) };
-            self.told.insert(server, Want { weight, ..want });
+        post.orders.extend(suspend(false));
+        for &Change { server, want, line, .. } in &changes {
+            let told = self.told.entry(server).or_default();
+            *told = Want { weight: if line { want.weight } else { told.weight }, ..want };
         }
         self.tell_gates(&gates, post);
         if readers > 0.0 {
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -115,6 +115,15 @@
     pub(crate) urgent: bool,
 }
 
+/// What differs from what proxies were told of a server: being shut out, its line, or both.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Change {
+    pub(crate) server: ServerId,
+    pub(crate) want: Want,
+    pub(crate) shut: bool,
+    pub(crate) line: bool,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Gate {
     pub(crate) operation: usize,
