Bring cold servers up to three fifths of their tipping multiple while losses are few

The share goes by three fifths of the tipping multiple, waiting still by two fifths. It guards against jams in releases and returns; it brings cold servers nearer to their limit.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,7 +3,7 @@
 //! in and out are in `crate::interface`. Inside, each server is an actor; the registry, the servers, the
 //! fleet, the slices and the channel talk only by notes put into inboxes, which `decide` empties.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::*;
 use crate::notes::*;
@@ -53,7 +53,9 @@
 /// A listed weight beyond this or its inverse is no size.
 const SIZE_BOUND: f64 = 1e6;
 /// Part of the multiple at which it falls over that a cold server may be brought, in work that it can do.
-const TIP_PART: f64 = 0.4;
+const TIP_PART: f64 = 0.6;
+/// Cold servers wait later, by this part of that multiple, where it is large.
+const WAIT_PART: f64 = 0.4;
 /// Fleet-wide share of lost tries above which further tries feed the trouble, and below which they return.
 const FURTHER_CUT: f64 = 0.2;
 const FURTHER_BACK: f64 = 0.1;
@@ -454,8 +456,7 @@
         for (&id, standing) in &self.standings {
             let (ready, held) = (standing.ready(), out.contains(&id));
             post.put(Part::Server(id), Note::Held(held));
-            let kept = if ready { standing.weight } else { 0.0 };
-            let weight = self.told.get(&id).copied().unwrap_or(kept);
+            let weight = self.told.get(&id).copied().unwrap_or(if ready { standing.weight } else { 0.0 });
             let want = Want {
                 weight,
                 shut: !ready || held,
@@ -687,8 +688,8 @@
             Note::Want(server, want) => drop(self.wants.insert(server, want)),
             Note::Gates(gates) => self.gates = gates,
             Note::Joined(proxy, locality) => {
-                let written = VecDeque::new();
-                self.members.insert(proxy, Member { locality, installed: self.sliced, written });
+                let member = Member { locality, installed: self.sliced, ..Member::default() };
+                self.members.insert(proxy, member);
             }
             Note::Left(proxy) => drop(self.members.remove(&proxy)),
             Note::Confirmed { serial, took } => self.pacing.confirmed(serial, took),
@@ -847,6 +848,7 @@
             }));
         }
         let cold_stretch = (facts.tip_multiple * TIP_PART).max(1.0);
+        let wait_stretch = (facts.tip_multiple * WAIT_PART).max(1.0);
         let amount = if facts.admission == Admission::Rate { f64::from(u32::MAX) } else { 1.0 };
         let gate = |operation| Gate { operation, amount, further: FurtherTry::AfterProof };
         let gates: Vec<Gate> = (0..facts.operations.len()).map(gate).collect();
@@ -876,7 +878,7 @@
                 tip_after: facts.tip_after,
                 by_locality: home != 0,
                 gates: gates.clone(),
-                avoided_from: AVOIDED.powf(1.0 / f64::from(facts.fails_to_avoid.max(1))) * cold_stretch,
+                avoided_from: AVOIDED.powf(1.0 / f64::from(facts.fails_to_avoid.max(1))) * wait_stretch,
                 ..Fleet::default()
             },
             slices: Slices {
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -155,7 +155,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Member {
     pub(crate) locality: LocalityId,
     pub(crate) installed: bool,
