Send changes in pieces that the channel takes, rule-keeping lines first

Cause: an urgent batch, and any batch while nothing waited, went out whole whatever it cost, and each withdrawn or drained server cost two lines at each proxy. Now a withdrawal is one changed line; only proxies not yet on the table are told to shun what drains; changes are ordered by rule, withdrawal, work moved, and cut to the room; joiners come busiest first; the account follows the last confirmation of a message. granted() no longer compares all suspects with all ready servers.

What it could harm: where much changes for good reasons the table lags by seconds.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,7 +1,7 @@
 //! The decision module. `Brain::new` is called once with the startup facts, `Brain::decide` for each batch
 //! that holds events of this instance; it gives back the orders to carry out, in order. All types that go
 //! in and out are in `crate::interface`. Inside, each server is an actor; the registry, the servers, the
-//! fleet, the slices and the channel talk only by notes put into inboxes, which `decide` empties.
+//! fleet and the channel talk only by notes put into inboxes, which `decide` empties.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -77,9 +77,10 @@
 const GAP_PART: f64 = 0.3;
 /// With less than this part of the usual ready weight warm, the warm are about to jam.
 const WARM_LEAST: f64 = 0.4;
-/// Part of the channel's room that ordinary changes and joins may fill; the rest is for withdrawals.
+/// Part of the channel's room that ordinary changes, joins, and what a rule hangs on may fill.
 const ORDINARY_ROOM: f64 = 0.5;
 const JOIN_ROOM: f64 = 0.8;
+const URGENT_ROOM: f64 = 0.9;
 
 const BEAT: u64 = 1;
 const LISTEN_AGAIN: u64 = 2;
@@ -151,6 +152,8 @@
     term: Nanos,
     since: Nanos,
     weighed: Nanos,
+    /// When the list last told that it drains or is gone.
+    left: Nanos,
 }
 
 impl Server {
@@ -170,6 +173,7 @@
         let now = post.now;
         match note {
             Note::Listed(row) => {
+                self.leave(row.readiness, now);
                 let started = row.ready_at > self.row.ready_at
                     || (row.readiness == Readiness::Ready && self.row.readiness != Readiness::Ready);
                 if started {
@@ -177,7 +181,10 @@
                 }
                 self.row = row;
             }
-            Note::Delisted => self.row.readiness = Readiness::Gone,
+            Note::Delisted => {
+                self.leave(Readiness::Gone, now);
+                self.row.readiness = Readiness::Gone;
+            }
             Note::Digest(digest) => self.hear(&digest, now, post),
             Note::Weigh(picture) => {
                 let standing = self.weigh(picture, judging, now);
@@ -188,6 +195,12 @@
         }
     }
 
+    fn leave(&mut self, readiness: Readiness, now: Nanos) {
+        if readiness != self.row.readiness {
+            self.left = now;
+        }
+    }
+
     fn hear(&mut self, digest: &Digest, now: Nanos, post: &mut Post) {
         let (tries, lost) = (f64::from(digest.tries), f64::from(digest.lost.min(digest.tries)));
         let answered = tries - lost;
@@ -271,8 +284,12 @@
         if answers && row.readiness == Readiness::Gone {
             row.readiness = Readiness::Ready;
         }
+        // A proxy can hold only what was listed a while ago.
+        let lately = self.left > 0 && now.saturating_sub(self.left) < judging.cold_for;
+        let gone = row.readiness == Readiness::Gone && !judging.gone_does_not_bind;
         Standing {
             row,
+            binds: lately && (gone || row.readiness == Readiness::Draining),
             warm: warm_part >= 1.0,
             out: self.out_since.is_some(),
             fault: self.fault,
@@ -423,19 +440,21 @@
     /// Grants withdrawals, worst first, up to a third of the ready servers, and never the last warm one that
     /// proxies could pick: what a shared cause does to all must not empty the tables.
     fn granted(&self) -> BTreeSet<ServerId> {
-        let ready: Vec<&Standing> = self.standings.values().filter(|s| s.ready()).collect();
-        let mut suspects: Vec<&&Standing> = ready.iter().filter(|s| s.fault.is_some() || s.out).collect();
+        let place = |s: &Standing| if self.by_locality { s.row.locality } else { 0 };
+        let ready = || self.standings.values().filter(|s| s.ready());
+        let mut warm: BTreeMap<LocalityId, usize> = BTreeMap::new();
+        ready().filter(|s| s.warm).for_each(|s| *warm.entry(place(s)).or_default() += 1);
+        let mut suspects: Vec<&Standing> = ready().filter(|s| s.fault.is_some() || s.out).collect();
         suspects.sort_by(|a, b| {
             b.out.cmp(&a.out).then(b.severity.total_cmp(&a.severity)).then(a.row.server.cmp(&b.row.server))
         });
-        let allowed = (ready.len() as f64 * WITHDRAWN_PART) as usize;
+        let allowed = (ready().count() as f64 * WITHDRAWN_PART) as usize;
         let mut out = BTreeSet::new();
         for suspect in suspects {
-            let place = |s: &Standing| !self.by_locality || s.row.locality == suspect.row.locality;
-            let others = ready.iter().filter(|s| {
-                s.warm && place(s) && s.row.server != suspect.row.server && !out.contains(&s.row.server)
-            });
-            if out.len() < allowed && others.count() > 0 {
+            let left = warm.entry(place(suspect)).or_default();
+            let others = left.saturating_sub(usize::from(suspect.warm));
+            if out.len() < allowed && others > 0 {
+                *left = others;
                 out.insert(suspect.row.server);
             }
         }
@@ -457,16 +476,11 @@
             let (ready, held) = (standing.ready(), out.contains(&id));
             post.put(Part::Server(id), Note::Held(held));
             let weight = self.told.get(&id).copied().unwrap_or(if ready { standing.weight } else { 0.0 });
-            let want = Want {
-                weight,
-                shut: !ready || held,
-                locality: standing.row.locality,
-                urgent: !ready || !standing.warm,
-            };
+            let weight = if ready && !held { weight } else { 0.0 };
+            let (locality, urgent) = (standing.row.locality, !ready || !standing.warm);
+            let want = Want { weight, locality, urgent, binds: standing.binds };
             post.put(Part::Channel, Note::Want(id, want));
         }
-        let able: Vec<ServerId> = self.told.keys().copied().collect();
-        post.put(Part::Slices, Note::Able(able));
     }
 
     /// Weights of the servers that stay in. A fault that may not be withdrawn keeps the least weight.
@@ -586,53 +600,6 @@
     order.into_iter().map(demand).collect()
 }
 
-/// Where slices exist: each keeps its recorded server while that one is able, else moves to another.
-#[derive(Debug, Default)]
-struct Slices {
-    books: BTreeMap<TableId, Option<ServerId>>,
-    /// Slices whose owner was shut out, and since when: writes in hand must end before the next owner.
-    leaving: BTreeMap<TableId, Nanos>,
-    handover: Nanos,
-}
-
-impl Slices {
-    fn take(&mut self, note: Note, post: &mut Post) {
-        match note {
-            Note::Leased(table, true) => drop(self.books.insert(table, None)),
-            Note::Leased(table, false) => {
-                self.books.remove(&table);
-                self.leaving.remove(&table);
-            }
-            Note::OnRecord(table, server) => drop(self.books.insert(table, Some(server))),
-            Note::Able(able) => self.place(&able, post),
-            _ => {}
-        }
-    }
-
-    fn place(&mut self, able: &[ServerId], post: &mut Post) {
-        let mut lines = Vec::new();
-        for (&table, holder) in &mut self.books {
-            if holder.is_some_and(|server| able.contains(&server)) {
-                self.leaving.remove(&table);
-                continue;
-            }
-            let Some(&next) = able.get(usize::from(table) % able.len().max(1)) else { continue };
-            let since = *self.leaving.entry(table).or_insert(post.now);
-            if holder.is_some() && post.now.saturating_sub(since) < self.handover {
-                continue;
-            }
-            lines.push((table, next, 1.0));
-            if let Some(former) = holder.replace(next) {
-                lines.push((table, former, 0.0));
-            }
-            self.leaving.remove(&table);
-        }
-        if !lines.is_empty() {
-            post.put(Part::Channel, Note::SliceLines(lines));
-        }
-    }
-}
-
 /// Figures of the channel, and the account of lines that wait in it.
 #[derive(Debug, Default)]
 struct Pacing {
@@ -644,7 +611,8 @@
     waiting: f64,
     at: Nanos,
     serial: u16,
-    fenced: BTreeMap<u64, f64>,
+    /// Marked messages: the lines that waited once they were ordered, and the answers still to come.
+    fenced: BTreeMap<u64, (f64, usize)>,
     messages_max: usize,
     messages_over: Nanos,
 }
@@ -657,11 +625,30 @@
         self.waiting
     }
 
-    /// A channel slower than told shows in late confirmations: the account then drains at the pace seen.
+    /// Lines for each of so many messages that this part of the room still takes, beside their heads and mark.
+    fn lines_left(&mut self, now: Nanos, part: f64, messages: usize) -> usize {
+        let left = self.room * part - self.waiting(now);
+        (left / messages.max(1) as f64 - self.overhead - 1.0).max(0.0) as usize
+    }
+
+    /// Books what was ordered, and has the messages answered.
+    fn book(&mut self, lines: f64, messages: usize, post: &mut Post) {
+        self.waiting += lines;
+        self.serial = self.serial.wrapping_add(1);
+        self.fenced.insert(self.serial.into(), (self.waiting, messages));
+        self.fenced.retain(|&serial, _| serial + 64 > self.serial.into());
+        post.orders.push(Order::FencePost { serial: self.serial, everyone: false });
+    }
+
+    /// A channel slower than told shows in late confirmations: the account then drains at the pace seen. The
+    /// last of the answers tells it best; an earlier one counts where it tells of a slower pace.
     fn confirmed(&mut self, serial: u64, took: Nanos) {
-        if let Some(lines) = self.fenced.remove(&serial) {
-            let queued = took.saturating_sub(self.transit) as f64;
-            self.lines_per_ns = if queued > 0.0 { (lines / queued).min(self.nominal) } else { self.nominal };
+        let Some((lines, due)) = self.fenced.get_mut(&serial) else { return };
+        *due = due.saturating_sub(1);
+        let queued = took.saturating_sub(self.transit) as f64;
+        let pace = if queued > 0.0 { (*lines / queued).min(self.nominal) } else { self.nominal };
+        if *due == 0 || pace < self.lines_per_ns {
+            self.lines_per_ns = pace;
         }
     }
 }
@@ -670,15 +657,16 @@
 #[derive(Debug, Default)]
 struct Channel {
     plans: Vec<TablePlan>,
-    sliced: bool,
-    exclusive: bool,
     pacing: Pacing,
     members: BTreeMap<ProxyId, Member>,
     wants: BTreeMap<ServerId, Want>,
-    told: BTreeMap<ServerId, Want>,
+    told: BTreeMap<ServerId, f64>,
+    /// Servers that proxies not yet on our table were told to shun, whatever they hold.
+    shut: BTreeSet<ServerId>,
+    /// Those ever told so, and not yet let in again.
+    shunned: BTreeSet<ServerId>,
     gates: Vec<Gate>,
     gates_told: Vec<Gate>,
-    slice_lines: Vec<(TableId, ServerId, f64)>,
     flushed: Nanos,
 }
 
@@ -687,13 +675,13 @@
         match note {
             Note::Want(server, want) => drop(self.wants.insert(server, want)),
             Note::Gates(gates) => self.gates = gates,
-            Note::Joined(proxy, locality) => {
-                let member = Member { locality, installed: self.sliced, ..Member::default() };
-                self.members.insert(proxy, member);
+            Note::Joined(proxy, locality, rate) => {
+                self.members.insert(proxy, Member { locality, rate, ..Member::default() });
+                // What was ordered before has not reached it.
+                self.shut.clear();
             }
             Note::Left(proxy) => drop(self.members.remove(&proxy)),
             Note::Confirmed { serial, took } => self.pacing.confirmed(serial, took),
-            Note::SliceLines(lines) => self.slice_lines.extend(lines),
             Note::Flush => {
                 self.changes(post);
                 self.joins(post);
@@ -702,72 +690,88 @@
         }
     }
 
-    /// Lines whose standing value differs enough; a weight also moves at once when it falls to or leaves 0.
+    /// Lines whose standing value differs enough, those that keep a rule first, then withdrawals, then by how
+    /// much of the work they move.
     fn differing(&self) -> Vec<Change> {
-        let mut changes = Vec::new();
+        let mut changes: Vec<Change> = Vec::new();
         for (&server, &want) in &self.wants {
             let told = self.told.get(&server).copied().unwrap_or_default();
-            let shut = want.shut != told.shut;
-            let idle = want.shut && want.weight > 0.0 && told.weight > 0.0;
-            let line = !idle && (want.weight - told.weight).abs() > WEIGHT_STEP * told.weight;
-            if shut || line {
-                changes.push(Change { server, want, shut, line });
+            let moved = (want.weight - told).abs();
+            if moved > WEIGHT_STEP * told {
+                let falls = want.weight < told;
+                let rank = if falls && want.urgent { 0 } else { 1 + u8::from(want.weight > 0.0) };
+                changes.push(Change { server, want, rank, moved });
             }
         }
+        changes.sort_by(|a, b| a.rank.cmp(&b.rank).then(b.moved.total_cmp(&a.moved)));
         changes
     }
 
+    /// Changed lines, as many as the channel takes: what is left out stays owed and goes later.
+    ///
+    /// Guards the channel's limit against anything that changes many lines at once, a mass restart, a wrong
+    /// list or noise. Drained or gone servers must be left, and cold ones kept from a full share, whatever else
+    /// waits. It could harm where much changes for good reasons: then the table lags behind by seconds.
     fn changes(&mut self, post: &mut Post) {
         let now = post.now;
-        let changes = self.differing();
-        let gates: Vec<Gate> = self.gates.iter().filter(|g| !self.gates_told.contains(g)).copied().collect();
-        if changes.is_empty() && gates.is_empty() && self.slice_lines.is_empty() {
-            return;
-        }
-        // Drained or gone servers must be left, and cold ones kept from a full share, whatever else waits.
-        let urgent = changes.iter().any(|Change { server, want, shut, .. }| {
-            let heavier = self.told.get(server).map_or(0.0, |told| told.weight) > want.weight;
-            want.urgent && ((*shut && want.shut) || (heavier && !want.shut))
-        });
-        let readers = self.members.values().filter(|member| member.installed).count() as f64;
-        let lines = changes.len() as f64 * 2.0 + gates.len() as f64 + self.slice_lines.len() as f64 + 1.0;
-        let cost = readers * (self.pacing.overhead + lines);
-        let waiting = self.pacing.waiting(now);
+        let mut changes = self.differing();
+        let mut gates: Vec<Gate> =
+            self.gates.iter().filter(|g| !self.gates_told.contains(g)).copied().collect();
+        let messages = self.members.len();
+        let readers = self.members.values().filter(|member| member.installed).count();
+        let strangers = messages - readers;
+        let unbound = self.wants.iter().filter(|(server, want)| want.binds && !self.shut.contains(server));
+        let mut shuts: Vec<ServerId> =
+            if strangers > 0 { unbound.map(|(&server, _)| server).collect() } else { Vec::new() };
+        let urgent = changes.iter().filter(|change| change.rank == 0).count();
         let due = now.saturating_sub(self.flushed) >= BATCH_GAP || self.flushed == 0;
-        let fits = waiting + cost <= self.pacing.room * ORDINARY_ROOM || waiting == 0.0;
         // Half of a limit on messages is left to what is urgent.
-        let most = self.pacing.messages_max / if urgent { 1 } else { 2 };
-        if !(urgent || due && fits) || !self.may_write(now, most) {
+        let pressing = urgent > 0 || !shuts.is_empty();
+        let most = self.pacing.messages_max / if pressing { 1 } else { 2 };
+        if !(pressing || due) || !self.may_write(now, most) {
             return;
         }
-        self.flushed = now;
-        let suspend = |on: bool| {
-            let turned = changes.iter().filter(move |change| change.shut && change.want.shut == on);
-            turned.map(move |change| Order::Suspend { server: change.server, on })
-        };
-        post.orders.extend(suspend(true));
-        for &Change { server, want, .. } in changes.iter().filter(|change| change.line) {
+        // Changes that only serve better wait while joiners still lack the table.
+        changes.retain(|change| readers == 0 || change.rank < 2 || strangers == 0);
+        if readers > 0 || !shuts.is_empty() {
+            let fits = self.pacing.lines_left(now, URGENT_ROOM, messages);
+            // Pieces smaller than their own heads are not worth sending.
+            if (fits as f64) < self.pacing.overhead.min((urgent + shuts.len()) as f64) {
+                return;
+            }
+            shuts.truncate(fits);
+            let ordinary = if due { self.pacing.lines_left(now, ORDINARY_ROOM, messages) } else { 0 };
+            let taken = shuts.len() + gates.len();
+            gates.truncate(if ordinary >= taken { gates.len() } else { 0 });
+            let most = ordinary.saturating_sub(taken).max(urgent.min(fits - shuts.len()));
+            changes.truncate(if readers > 0 { most } else { changes.len() });
+        }
+        if changes.is_empty() && gates.is_empty() && shuts.is_empty() {
+            return;
+        }
+        if due {
+            self.flushed = now;
+        }
+        post.orders.extend(shuts.iter().map(|&server| Order::Suspend { server, on: true }));
+        let mut lines = changes.len();
+        for &Change { server, want, .. } in &changes {
             for plan in self.plans.iter().filter(|plan| plan.covers(want.locality)) {
                 post.orders.push(Order::Line { table: plan.table, server, weight: want.weight });
             }
-        }
-        for (table, server, weight) in std::mem::take(&mut self.slice_lines) {
-            if !(self.exclusive && weight == 0.0) {
-                post.orders.push(Order::Line { table, server, weight });
+            if want.weight > 0.0 && self.shunned.remove(&server) {
+                post.orders.push(Order::Suspend { server, on: false });
+                lines += 1;
             }
+            self.told.insert(server, want.weight);
         }
-        post.orders.extend(suspend(false));
-        for &Change { server, want, line, .. } in &changes {
-            let told = self.told.entry(server).or_default();
-            *told = Want { weight: if line { want.weight } else { told.weight }, ..want };
-        }
+        self.shunned.extend(shuts.iter());
+        self.shut.extend(shuts.iter());
         self.tell_gates(&gates, post);
-        if readers > 0.0 {
-            self.pacing.waiting += cost;
-            self.pacing.serial = self.pacing.serial.wrapping_add(1);
-            self.pacing.fenced.insert(self.pacing.serial.into(), self.pacing.waiting);
-            self.pacing.fenced.retain(|&serial, _| serial + 16 > self.pacing.serial.into());
-            post.orders.push(Order::FencePost { serial: self.pacing.serial, everyone: false });
+        if readers > 0 || !shuts.is_empty() {
+            let heads = self.pacing.overhead + 1.0;
+            let told = readers as f64 * (heads + (lines + gates.len()) as f64);
+            let apart = if shuts.is_empty() { 0.0 } else { heads + shuts.len() as f64 };
+            self.pacing.book(told + strangers as f64 * apart, messages, post);
             self.members.values_mut().filter(|m| m.installed).for_each(|m| m.written.push_back(now));
         }
     }
@@ -775,14 +779,13 @@
     fn tell_gates(&mut self, gates: &[Gate], post: &mut Post) {
         for gate in gates {
             let operations = 1 << gate.operation;
-            let (amount, further) = (gate.amount, gate.further);
-            let plans = self.plans.iter().filter(|plan| plan.operations & operations != 0);
-            let all = self.sliced.then_some(None);
-            for table in plans.map(|plan| Some(plan.table)).chain(all) {
+            for plan in self.plans.iter().filter(|plan| plan.operations & operations != 0) {
+                let (table, amount, further) = (Some(plan.table), gate.amount, gate.further);
                 post.orders.push(Order::Gate { table, operations, amount, further });
             }
+            self.gates_told.retain(|told| told.operation != gate.operation);
+            self.gates_told.push(*gate);
         }
-        self.gates_told.clone_from(&self.gates);
     }
 
     fn may_write(&mut self, now: Nanos, most: usize) -> bool {
@@ -795,25 +798,28 @@
         })
     }
 
-    /// Whole tables for those that joined, as many as the channel has room for.
+    /// Whole tables for those that joined, as many as the channel has room for, the busiest proxies first.
     fn joins(&mut self, post: &mut Post) {
-        if !self.told.values().any(|told| told.weight > 0.0 && !told.shut) {
+        let lines = self.told.values().filter(|&&weight| weight > 0.0).count();
+        if lines == 0 || self.members.values().all(|member| member.installed) {
             return;
         }
-        let lines = (self.told.len() * 2 + self.gates.len() + 1) * self.plans.len().min(2);
-        let cost = self.pacing.overhead + lines as f64;
-        for (&proxy, member) in self.members.iter_mut().filter(|(_, member)| !member.installed) {
-            let waiting = self.pacing.waiting(post.now);
-            if waiting > 0.0 && waiting + cost > self.pacing.room * JOIN_ROOM {
-                break;
-            }
+        let cost = self.pacing.overhead + ((lines + self.gates.len() + 2) * self.plans.len().min(2)) as f64;
+        let room = self.pacing.room * JOIN_ROOM - self.pacing.waiting(post.now);
+        let fits = if room >= self.pacing.room * JOIN_ROOM { (room / cost).max(1.0) } else { room / cost };
+        let mut waiting: Vec<_> = self.members.iter_mut().filter(|(_, member)| !member.installed).collect();
+        waiting.sort_by(|a, b| b.1.rate.total_cmp(&a.1.rate));
+        waiting.truncate(fits.max(0.0) as usize);
+        for (&proxy, member) in &mut waiting {
             for plan in self.plans.iter().filter(|plan| plan.covers(member.locality)) {
                 let (table, operations) = (plan.table, plan.operations);
                 post.orders.push(Order::Install { proxy, table, operations });
             }
             member.installed = true;
             member.written.push_back(post.now);
-            self.pacing.waiting += cost;
+        }
+        if !waiting.is_empty() {
+            self.pacing.book(waiting.len() as f64 * cost, waiting.len(), post);
         }
     }
 }
@@ -826,7 +832,6 @@
     servers: BTreeMap<ServerId, Server>,
     judging: Judging,
     fleet: Fleet,
-    slices: Slices,
     channel: Channel,
     beat: Nanos,
     started: bool,
@@ -881,14 +886,8 @@
                 avoided_from: AVOIDED.powf(1.0 / f64::from(facts.fails_to_avoid.max(1))) * wait_stretch,
                 ..Fleet::default()
             },
-            slices: Slices {
-                handover: if facts.sole_owner { facts.in_flight_max + facts.worst_transit } else { 0 },
-                ..Slices::default()
-            },
             channel: Channel {
                 plans,
-                sliced: facts.slices > 0,
-                exclusive: facts.sole_owner,
                 pacing: Pacing {
                     lines_per_ns: facts.lines_per_s / SECOND as f64,
                     nominal: facts.lines_per_s / SECOND as f64,
@@ -934,7 +933,9 @@
     fn sort(&mut self, event: Event) {
         let (part, note) = match event {
             Event::Roster(news) => (Part::Registry, Note::Roster(news)),
-            Event::Joined { proxy, locality, .. } => (Part::Channel, Note::Joined(proxy, locality)),
+            Event::Joined { proxy, locality, rate, .. } => {
+                (Part::Channel, Note::Joined(proxy, locality, rate))
+            }
             Event::Left { proxy } => (Part::Channel, Note::Left(proxy)),
             Event::Digest(digest) if digest.tries > 0 => (Part::Server(digest.server), Note::Digest(digest)),
             Event::Intake { operation, total, lost, .. } => {
@@ -942,8 +943,6 @@
                 (Part::Fleet, Note::Intake { operation: operation.into(), total, lost })
             }
             Event::Confirmed { serial, took, .. } => (Part::Channel, Note::Confirmed { serial, took }),
-            Event::Leased { table, on } => (Part::Slices, Note::Leased(table, on)),
-            Event::OnRecord { table, server, .. } => (Part::Slices, Note::OnRecord(table, server)),
             Event::Fired { ctx: BEAT } => {
                 return self.post.orders.push(Order::Remind { span: self.beat, ctx: BEAT });
             }
@@ -970,7 +969,6 @@
                     let ids: Vec<ServerId> = self.servers.keys().copied().collect();
                     self.fleet.take(note, &ids, &mut self.post);
                 }
-                Part::Slices => self.slices.take(note, &mut self.post),
                 Part::Channel => self.channel.take(note, &mut self.post),
             }
         }
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -30,7 +30,6 @@
     Registry,
     Server(ServerId),
     Fleet,
-    Slices,
     Channel,
 }
 
@@ -49,13 +48,9 @@
     Beat,
     Want(ServerId, Want),
     Gates(Vec<Gate>),
-    Joined(ProxyId, LocalityId),
+    Joined(ProxyId, LocalityId, f64),
     Left(ProxyId),
     Confirmed { serial: u64, took: Nanos },
-    Leased(TableId, bool),
-    OnRecord(TableId, ServerId),
-    Able(Vec<ServerId>),
-    SliceLines(Vec<(TableId, ServerId, f64)>),
     Flush,
 }
 
@@ -85,6 +80,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Standing {
     pub(crate) row: RosterRow,
+    /// No proxy may send to it, whatever it holds.
+    pub(crate) binds: bool,
     pub(crate) warm: bool,
     pub(crate) out: bool,
     pub(crate) fault: Option<Fault>,
@@ -109,19 +106,20 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct Want {
     pub(crate) weight: f64,
-    pub(crate) shut: bool,
     pub(crate) locality: LocalityId,
     /// A rule hangs on it: it does not wait for the next batch.
     pub(crate) urgent: bool,
+    /// It drains or is gone: no joined proxy may send to it.
+    pub(crate) binds: bool,
 }
 
-/// What differs from what proxies were told of a server: being shut out, its line, or both.
+/// A line that differs from what proxies were told, how it ranks and how much weight it moves.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Change {
     pub(crate) server: ServerId,
     pub(crate) want: Want,
-    pub(crate) shut: bool,
-    pub(crate) line: bool,
+    pub(crate) rank: u8,
+    pub(crate) moved: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -158,6 +156,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Member {
     pub(crate) locality: LocalityId,
+    pub(crate) rate: f64,
     pub(crate) installed: bool,
     pub(crate) written: VecDeque<Nanos>,
 }
