Keep proxies apart on small tables where connections are hard to get

Cause: in a connection squeeze or with slow handshakes a table of all servers makes nearly each try at a large fleet a new connection: 62 to 90% of tries got none. Then, for 30 s, pairs of proxies or so share six servers or more, dealt by what came to each proxy; windows go by supervisor number, so none need agree; cold servers stay out; a table that lost half is refilled alone. Joins are told to shun through one more table; messages by one bucket; state types to src/state.rs; tables of one locality taken out (no deployment has such operations).

It may also cover a shared cause that makes connects fail; it harms where a failure of another kind hits most servers at once, by uneven load.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -7,6 +7,7 @@
 
 use crate::interface::*;
 use crate::notes::*;
+use crate::state::*;
 
 #[cfg(test)]
 mod tests;
@@ -71,10 +72,9 @@
 const LEAST_LEVEL: f64 = 0.1;
 /// Chance of as many losses in a row as make a proxy avoid a server, from which avoidance counts as common.
 const AVOIDED: f64 = 0.01;
-/// For so long after a gap in the reports, and in it, these parts of as many losses keep cold servers waiting.
+/// In a gap in the reports, and for so long after, this part of as many losses keeps cold servers waiting.
 const BLIND_FOR: Nanos = 4 * SCORE_MEMORY;
-const BLIND_PART: f64 = 0.5;
-const GAP_PART: f64 = 0.3;
+const BLIND_PART: f64 = 0.4;
 /// With less than this part of the usual ready weight warm, the warm are about to jam.
 const WARM_LEAST: f64 = 0.4;
 /// Part of the channel's room that ordinary changes, joins, and what a rule hangs on may fill.
@@ -82,19 +82,22 @@
 const JOIN_ROOM: f64 = 0.8;
 const URGENT_ROOM: f64 = 0.9;
 
+/// The table of all proxies on the ordinary path; small ones are numbered after it. What joiners are told to
+/// shun, whatever they hold, is kept like one more table.
+const WHOLE: TableId = 0;
+const SHUNNED: TableId = TableId::MAX;
+/// Where connections are hard to get: from so many of the servers losing tries, while answers take at most this
+/// multiple of that part of what is late; so many proxies share so many servers at least; for so long at first.
+const WIDE: f64 = 0.4;
+const QUICK: f64 = 2.0;
+const GROUP_PROXIES: usize = 2;
+const GROUP_SERVERS: usize = 6;
+const LEAST_CHOICE: f64 = 3.0;
+const APART_FOR: Nanos = 6 * SCORE_MEMORY;
+
 const BEAT: u64 = 1;
 const LISTEN_AGAIN: u64 = 2;
 
-/// Follows the list, and asks for it where it must be asked.
-#[derive(Debug)]
-struct Registry {
-    asks: bool,
-    patience: Nanos,
-    listed: BTreeSet<ServerId>,
-    failures: u32,
-    chance: oorandom::Rand64,
-}
-
 impl Registry {
     fn take(&mut self, note: Note, post: &mut Post) {
         match note {
@@ -131,31 +134,6 @@
     }
 }
 
-/// One server as this instance's proxies meet it.
-#[derive(Debug, Default)]
-struct Server {
-    row: RosterRow,
-    tries: Fading,
-    lost: Fading,
-    answered: Fading,
-    time: Fading,
-    /// Its share of the weight as proxies have felt it: what was told, late.
-    felt_share: f64,
-    /// Answers expected of it since its last one.
-    unanswered: f64,
-    level: f64,
-    clean: bool,
-    band: Band,
-    edge: Option<Nanos>,
-    out_since: Option<Nanos>,
-    fault: Option<Fault>,
-    term: Nanos,
-    since: Nanos,
-    weighed: Nanos,
-    /// When the list last told that it drains or is gone.
-    left: Nanos,
-}
-
 impl Server {
     fn new(row: RosterRow, now: Nanos) -> Self {
         Server {
@@ -173,7 +151,6 @@
         let now = post.now;
         match note {
             Note::Listed(row) => {
-                self.leave(row.readiness, now);
                 let started = row.ready_at > self.row.ready_at
                     || (row.readiness == Readiness::Ready && self.row.readiness != Readiness::Ready);
                 if started {
@@ -181,10 +158,7 @@
                 }
                 self.row = row;
             }
-            Note::Delisted => {
-                self.leave(Readiness::Gone, now);
-                self.row.readiness = Readiness::Gone;
-            }
+            Note::Delisted => self.row.readiness = Readiness::Gone,
             Note::Digest(digest) => self.hear(&digest, now, post),
             Note::Weigh(picture) => {
                 let standing = self.weigh(picture, judging, now);
@@ -195,12 +169,6 @@
         }
     }
 
-    fn leave(&mut self, readiness: Readiness, now: Nanos) {
-        if readiness != self.row.readiness {
-            self.left = now;
-        }
-    }
-
     fn hear(&mut self, digest: &Digest, now: Nanos, post: &mut Post) {
         let (tries, lost) = (f64::from(digest.tries), f64::from(digest.lost.min(digest.tries)));
         let answered = tries - lost;
@@ -284,12 +252,13 @@
         if answers && row.readiness == Readiness::Gone {
             row.readiness = Readiness::Ready;
         }
-        // A proxy can hold only what was listed a while ago.
-        let lately = self.left > 0 && now.saturating_sub(self.left) < judging.cold_for;
-        let gone = row.readiness == Readiness::Gone && !judging.gone_does_not_bind;
         Standing {
             row,
-            binds: lately && (gone || row.readiness == Readiness::Draining),
+            binds: match row.readiness {
+                Readiness::Ready => false,
+                Readiness::Draining => true,
+                Readiness::Gone => !judging.gone_does_not_bind && self.tries.sum > RETURN_LEVEL,
+            },
             warm: warm_part >= 1.0,
             out: self.out_since.is_some(),
             fault: self.fault,
@@ -341,40 +310,8 @@
     ratio.clamp(1.0 / FACTOR_BOUND, FACTOR_BOUND)
 }
 
-/// Compares the servers and grants withdrawals.
-#[derive(Debug, Default)]
-struct Fleet {
-    standings: BTreeMap<ServerId, Standing>,
-    awaited: usize,
-    answered: f64,
-    heard: Nanos,
-    usual: Fading,
-    blind_until: Nanos,
-    blind_part: f64,
-    tip_after: Nanos,
-    tries: Fading,
-    lost: Fading,
-    /// Tries, lost, succeeded and their time over one cycle or so: shedding must not act on old news.
-    recent: [Fading; 4],
-    /// Where levels are heeded, what comes of each operation, those let in first in front.
-    demands: Vec<Demand>,
-    /// Cost borne in a cycle by a unit of ready weight: the most of late, and what is let in at most.
-    peak: f64,
-    capacity: Option<f64>,
-    heat: f64,
-    patience: f64,
-    cycle: Nanos,
-    levelled: Nanos,
-    told: BTreeMap<ServerId, f64>,
-    by_locality: bool,
-    gates: Vec<Gate>,
-    general: bool,
-    /// Lost share from which proxies avoid many servers by themselves.
-    avoided_from: f64,
-}
-
 impl Fleet {
-    fn take(&mut self, note: Note, ids: &[ServerId], post: &mut Post) {
+    fn take(&mut self, note: Note, post: &mut Post) {
         match note {
             Note::Met { tries, lost, time } => {
                 // A gap in the reports shows that they come late, or that this instance stood still or has just started.
@@ -398,7 +335,7 @@
                     demand.failed.add(post.now, self.cycle, lost);
                 }
             }
-            Note::Beat => self.ask_all(ids, post),
+            Note::Beat(ids) => self.ask_all(ids, post),
             Note::Standing(standing) => {
                 self.standings.insert(standing.row.server, standing);
                 self.awaited = self.awaited.saturating_sub(1);
@@ -410,7 +347,7 @@
         }
     }
 
-    fn ask_all(&mut self, ids: &[ServerId], post: &mut Post) {
+    fn ask_all(&mut self, ids: Vec<ServerId>, post: &mut Post) {
         let ready = || self.standings.values().filter(|s| s.ready());
         let total: f64 = self.told.values().sum();
         let picture = Picture {
@@ -426,24 +363,22 @@
             *sums = (sums.0 + standing.met.0, sums.1 + standing.met.1);
         }
         self.awaited = ids.len();
-        for &id in ids {
+        if ids.is_empty() {
+            self.conclude(post);
+        }
+        for id in ids {
             let share = self.told.get(&id).map_or(0.0, |weight| weight / total.max(f64::MIN_POSITIVE));
             let kind = self.standings.get(&id).and_then(|standing| kinds.get(&standing.row.kind));
             let kind_time = kind.filter(|sums| sums.1 > KIND_CREDIT).map_or(0.0, |sums| sums.0 / sums.1);
             post.put(Part::Server(id), Note::Weigh(Picture { share, kind_time, ..picture }));
         }
-        if ids.is_empty() {
-            self.conclude(post);
-        }
     }
 
     /// Grants withdrawals, worst first, up to a third of the ready servers, and never the last warm one that
     /// proxies could pick: what a shared cause does to all must not empty the tables.
     fn granted(&self) -> BTreeSet<ServerId> {
-        let place = |s: &Standing| if self.by_locality { s.row.locality } else { 0 };
         let ready = || self.standings.values().filter(|s| s.ready());
-        let mut warm: BTreeMap<LocalityId, usize> = BTreeMap::new();
-        ready().filter(|s| s.warm).for_each(|s| *warm.entry(place(s)).or_default() += 1);
+        let mut warm = ready().filter(|s| s.warm).count();
         let mut suspects: Vec<&Standing> = ready().filter(|s| s.fault.is_some() || s.out).collect();
         suspects.sort_by(|a, b| {
             b.out.cmp(&a.out).then(b.severity.total_cmp(&a.severity)).then(a.row.server.cmp(&b.row.server))
@@ -451,10 +386,9 @@
         let allowed = (ready().count() as f64 * WITHDRAWN_PART) as usize;
         let mut out = BTreeSet::new();
         for suspect in suspects {
-            let left = warm.entry(place(suspect)).or_default();
-            let others = left.saturating_sub(usize::from(suspect.warm));
+            let others = warm - usize::from(suspect.warm);
             if out.len() < allowed && others > 0 {
-                *left = others;
+                warm = others;
                 out.insert(suspect.row.server);
             }
         }
@@ -469,6 +403,7 @@
         let inside = self.standings.values().filter(|s| s.ready() && !out.contains(&s.row.server));
         let able = inside.map(|s| s.cap.unwrap_or(s.listed)).sum();
         self.set_levels(able, post);
+        self.keep_apart(lost_share, post);
         self.set_gates(lost_share, post);
         let [tries, lost, ..] = self.recent.each_mut().map(|sum| sum.read(post.now, self.cycle));
         self.weights(&out, 1.0 - lost_share.max(lost / (tries + CREDIT)), post.now);
@@ -477,8 +412,7 @@
             post.put(Part::Server(id), Note::Held(held));
             let weight = self.told.get(&id).copied().unwrap_or(if ready { standing.weight } else { 0.0 });
             let weight = if ready && !held { weight } else { 0.0 };
-            let (locality, urgent) = (standing.row.locality, !ready || !standing.warm);
-            let want = Want { weight, locality, urgent, binds: standing.binds };
+            let want = Want { weight, urgent: !ready || !standing.warm, binds: standing.binds };
             post.put(Part::Channel, Note::Want(id, want));
         }
     }
@@ -505,12 +439,11 @@
         // What the list has taken away tells of a jam before any report does.
         self.usual.sum = self.usual.read(now, 2 * BLIND_FOR).max(known * kept);
         let warm_part = warm.iter().map(|s| s.listed).sum::<f64>() / self.usual.sum;
-        let sight = match now.saturating_sub(self.heard) {
+        let gap = now.saturating_sub(self.heard) > 2 * self.cycle;
+        let sight = match gap || now < self.blind_until || warm_part < WARM_LEAST {
             _ if self.heard == 0 => 0.0,
-            gap if gap > 2 * self.cycle => GAP_PART,
-            _ if now < self.blind_until => self.blind_part,
-            _ if warm_part < WARM_LEAST => BLIND_PART,
-            _ => 1.0,
+            true => self.blind_part,
+            false => 1.0,
         };
         let wait = 1.0 - kept >= self.avoided_from * warm_part * sight && warm_sum > 0.0;
         let most = |s: &Standing| if wait { 0.0 } else { s.cap.map_or(f64::MAX, |cap| cap / known * total) };
@@ -518,6 +451,31 @@
         self.told.extend(cold.iter().map(|s| (s.row.server, capped(s))));
     }
 
+    /// Guards against connections that are hard to get, whatever the cause: servers that accept few, or take long
+    /// to set them up. Tries then fail at most servers though answers are not late; a table of all servers makes
+    /// nearly each try at a large fleet a new connection. For a term, few proxies share few servers. It could
+    /// harm in a failure of another kind that hits most servers at once, by uneven load; it moves no try to a
+    /// cold server.
+    fn keep_apart(&mut self, lost_share: f64, post: &mut Post) {
+        if post.now < self.apart_until {
+            return post.put(Part::Channel, Note::Apart(true));
+        }
+        let ready = || self.standings.values().filter(|s| s.ready());
+        let losing = ready().filter(|s| s.error > FURTHER_CUT).count() as f64;
+        let [.., served, time] = self.recent.each_mut().map(|sum| sum.read(post.now, self.cycle));
+        let wide = losing / (ready().count() as f64).max(1.0);
+        let slow = time / (served + CREDIT) / self.patience;
+        if lost_share > FURTHER_CUT && wide > WIDE.max(slow / QUICK) {
+            self.apart_for = (2 * self.apart_for).max(APART_FOR);
+            self.apart_until = post.now + self.apart_for;
+            post.remark("proxies kept apart: connections are hard to get".into());
+        } else if self.apart_until > 0 {
+            self.apart_until = 0;
+            post.remark("proxies back on one table".into());
+        }
+        post.put(Part::Channel, Note::Apart(self.apart_until > 0));
+    }
+
     /// Further tries only after proof that the first never ran, which is safe for every operation: tries cut
     /// off to be repeated elsewhere cost more work than they save. When failures are general even those
     /// only feed the load, and bring cold servers what the warm turned away.
@@ -528,8 +486,9 @@
             let line = ["further tries restored", "further tries cut back: failures are general"];
             post.remark(line[usize::from(self.general)].into());
         }
+        let further = !self.general || self.apart_until > 0;
         for gate in &mut self.gates {
-            gate.further = if self.general { FurtherTry::Never } else { FurtherTry::AfterProof };
+            gate.further = if !further { FurtherTry::Never } else { FurtherTry::AfterProof };
         }
         post.put(Part::Channel, Note::Gates(self.gates.clone()));
     }
@@ -547,7 +506,8 @@
         }
         self.levelled = now;
         let [tries, lost, served, time] = self.recent.each_mut().map(|sum| sum.read(now, self.cycle));
-        let heat = (time / (served + CREDIT) / self.patience).max(lost / (tries + CREDIT) / FURTHER_CUT);
+        let failing = if self.apart_until > 0 { 0.0 } else { lost / (tries + CREDIT) / FURTHER_CUT };
+        let heat = (time / (served + CREDIT) / self.patience).max(failing);
         // Reports are late: heat is taken as where it will be a cycle on.
         let before = std::mem::replace(&mut self.heat, heat);
         let heat = if before > 0.0 { 2.0 * heat - before } else { heat };
@@ -600,40 +560,19 @@
     order.into_iter().map(demand).collect()
 }
 
-/// Figures of the channel, and the account of lines that wait in it.
-#[derive(Debug, Default)]
-struct Pacing {
-    lines_per_ns: f64,
-    nominal: f64,
-    room: f64,
-    overhead: f64,
-    transit: Nanos,
-    waiting: f64,
-    at: Nanos,
-    serial: u16,
-    /// Marked messages: the lines that waited once they were ordered, and the answers still to come.
-    fenced: BTreeMap<u64, (f64, usize)>,
-    messages_max: usize,
-    messages_over: Nanos,
-}
-
 impl Pacing {
     fn waiting(&mut self, now: Nanos) -> f64 {
-        let sent = now.saturating_sub(self.at) as f64 * self.lines_per_ns;
+        let elapsed = now.saturating_sub(self.at) as f64;
         self.at = now;
-        self.waiting = (self.waiting - sent).max(0.0);
+        self.written = (self.written - self.messages_half * elapsed / self.messages_over as f64).max(0.0);
+        self.waiting = (self.waiting - elapsed * self.lines_per_ns).max(0.0);
         self.waiting
     }
 
-    /// Lines for each of so many messages that this part of the room still takes, beside their heads and mark.
-    fn lines_left(&mut self, now: Nanos, part: f64, messages: usize) -> usize {
-        let left = self.room * part - self.waiting(now);
-        (left / messages.max(1) as f64 - self.overhead - 1.0).max(0.0) as usize
-    }
-
     /// Books what was ordered, and has the messages answered.
     fn book(&mut self, lines: f64, messages: usize, post: &mut Post) {
         self.waiting += lines;
+        self.written += 1.0;
         self.serial = self.serial.wrapping_add(1);
         self.fenced.insert(self.serial.into(), (self.waiting, messages));
         self.fenced.retain(|&serial, _| serial + 64 > self.serial.into());
@@ -653,32 +592,28 @@
     }
 }
 
-/// Knows what was told to proxies, tells them what changed, and keeps the channel short.
-#[derive(Debug, Default)]
-struct Channel {
-    plans: Vec<TablePlan>,
-    pacing: Pacing,
-    members: BTreeMap<ProxyId, Member>,
-    wants: BTreeMap<ServerId, Want>,
-    told: BTreeMap<ServerId, f64>,
-    /// Servers that proxies not yet on our table were told to shun, whatever they hold.
-    shut: BTreeSet<ServerId>,
-    /// Those ever told so, and not yet let in again.
-    shunned: BTreeSet<ServerId>,
-    gates: Vec<Gate>,
-    gates_told: Vec<Gate>,
-    flushed: Nanos,
-}
-
 impl Channel {
     fn take(&mut self, note: Note, post: &mut Post) {
         match note {
             Note::Want(server, want) => drop(self.wants.insert(server, want)),
             Note::Gates(gates) => self.gates = gates,
-            Note::Joined(proxy, locality, rate) => {
-                self.members.insert(proxy, Member { locality, rate, ..Member::default() });
+            Note::Apart(apart) => {
+                if apart != self.apart {
+                    self.split(apart);
+                }
+                self.refill();
+            }
+            Note::Joined(proxy, rate) => {
+                let came = Fading { sum: rate * LEARNING as f64 / SECOND as f64, at: post.now };
+                self.members.insert(proxy, Member { came, ..Member::default() });
+                self.split(self.apart);
                 // What was ordered before has not reached it.
-                self.shut.clear();
+                self.told.range_mut((SHUNNED, 0)..).for_each(|(_, told)| *told /= 2.0);
+            }
+            Note::Came(proxy, total) => {
+                if let Some(member) = self.members.get_mut(&proxy) {
+                    member.came.add(post.now, LEARNING, total);
+                }
             }
             Note::Left(proxy) => drop(self.members.remove(&proxy)),
             Note::Confirmed { serial, took } => self.pacing.confirmed(serial, took),
@@ -690,17 +625,93 @@
         }
     }
 
+    fn sound(&self) -> Vec<(ServerId, f64)> {
+        let sound = self.wants.iter().filter(|(_, want)| want.weight > 0.0 && !want.urgent);
+        sound.map(|(&server, want)| (server, want.weight)).collect()
+    }
+
+    /// Deals sound servers to small groups of proxies, each a table of its own, by the traffic that each brings;
+    /// or brings all back to the whole table. Our window of the servers, all in one order, goes by our number
+    /// and our part of the proxies, so supervisors need not agree.
+    fn split(&mut self, apart: bool) {
+        self.apart = apart;
+        self.parts.clear();
+        self.sizes.clear();
+        self.members.values_mut().for_each(|member| member.table = WHOLE);
+        let sound = self.sound();
+        let count = sound.len() as f64;
+        let ours = (count * self.members.len() as f64 / self.proxies.max(1.0)).ceil().min(count) as usize;
+        let first = (count * self.supervisor / self.supervisors.max(1.0)) as usize;
+        let window: Vec<(ServerId, f64)> = sound.into_iter().cycle().skip(first).take(ours).collect();
+        let groups = (self.members.len() / GROUP_PROXIES).min(ours / GROUP_SERVERS);
+        let rates: f64 = self.members.values().map(|member| member.came.sum).sum();
+        if !apart || groups < 2 || rates <= 0.0 {
+            return;
+        }
+        let weights: f64 = window.iter().map(|(_, weight)| weight).sum();
+        let (mut to, mut ends) = (0.0, BTreeMap::new());
+        for member in self.members.values_mut() {
+            let part = member.came.sum / rates;
+            member.table = WHOLE + 1 + ((to + part / 2.0) * groups as f64) as TableId;
+            to += part;
+            ends.insert(member.table, to);
+            let least = LEAST_CHOICE * weights / window.len() as f64;
+            *self.sizes.entry(member.table).or_insert(least) += part * weights;
+        }
+        let mut at = 0.0;
+        for (server, weight) in window {
+            let middle = (at + weight / 2.0) / weights;
+            at += weight;
+            let table = ends.iter().find(|(_, &end)| end >= middle).map(|(&table, _)| table);
+            self.parts.extend(table.map(|table| (table, server)));
+        }
+    }
+
+    /// A small table that has lost half of its weight gets more of the sound servers; the others stay as dealt.
+    fn refill(&mut self) {
+        let sound = self.sound();
+        for (&table, size) in &self.sizes {
+            let lines = self.parts.range((table, 0)..(table + 1, 0));
+            let mut sum: f64 = lines.map(|&(_, server)| self.wanted(table, server)).sum();
+            let first = sound.len() * usize::from(table) / (self.sizes.len() + 1);
+            let more = sound.iter().cycle().skip(first).take(if sum < size / 2.0 { sound.len() } else { 0 });
+            for (server, weight) in more {
+                if sum < *size && self.parts.insert((table, *server)) {
+                    sum += weight;
+                }
+            }
+        }
+    }
+
+    /// What a table should say of a server; a cold one's share would be large in a small table: it stays out.
+    fn wanted(&self, table: TableId, server: ServerId) -> f64 {
+        let want = self.wants.get(&server).copied().unwrap_or_default();
+        match table {
+            WHOLE => want.weight,
+            SHUNNED if want.urgent && want.weight == 0.0 => 1.0,
+            _ if want.urgent => 0.0,
+            _ => want.weight * f64::from(u8::from(self.parts.contains(&(table, server)))),
+        }
+    }
+
     /// Lines whose standing value differs enough, those that keep a rule first, then withdrawals, then by how
     /// much of the work they move.
-    fn differing(&self) -> Vec<Change> {
+    fn differing(&self, strangers: bool) -> Vec<Change> {
+        let mut lines: BTreeSet<(TableId, ServerId)> = self.told.keys().chain(&self.parts).copied().collect();
+        lines.extend(self.wants.keys().map(|&server| (WHOLE, server)));
+        let binding = self.wants.iter().filter(|(_, want)| strangers && want.binds);
+        lines.extend(binding.map(|(&server, _)| (SHUNNED, server)));
         let mut changes: Vec<Change> = Vec::new();
-        for (&server, &want) in &self.wants {
-            let told = self.told.get(&server).copied().unwrap_or_default();
-            let moved = (want.weight - told).abs();
+        for (table, server) in lines {
+            let told = self.told.get(&(table, server)).copied().unwrap_or_default();
+            let weight = self.wanted(table, server);
+            let moved = (weight - told).abs();
             if moved > WEIGHT_STEP * told {
-                let falls = want.weight < told;
-                let rank = if falls && want.urgent { 0 } else { 1 + u8::from(want.weight > 0.0) };
-                changes.push(Change { server, want, rank, moved });
+                let urgent = weight < told && self.wants.get(&server).is_some_and(|want| want.urgent);
+                // A small table that is dealt anew is filled before it is cut.
+                let fills = table > WHOLE && weight > told && (told == 0.0 || table == SHUNNED);
+                let rank = if urgent || fills { 0 } else { 1 + u8::from(weight > 0.0) };
+                changes.push(Change { table, server, weight, rank, moved });
             }
         }
         changes.sort_by(|a, b| a.rank.cmp(&b.rank).then(b.moved.total_cmp(&a.moved)));
@@ -714,112 +725,98 @@
     /// waits. It could harm where much changes for good reasons: then the table lags behind by seconds.
     fn changes(&mut self, post: &mut Post) {
         let now = post.now;
-        let mut changes = self.differing();
-        let mut gates: Vec<Gate> =
-            self.gates.iter().filter(|g| !self.gates_told.contains(g)).copied().collect();
-        let messages = self.members.len();
-        let readers = self.members.values().filter(|member| member.installed).count();
-        let strangers = messages - readers;
-        let unbound = self.wants.iter().filter(|(server, want)| want.binds && !self.shut.contains(server));
-        let mut shuts: Vec<ServerId> =
-            if strangers > 0 { unbound.map(|(&server, _)| server).collect() } else { Vec::new() };
+        let mut readers = BTreeMap::from([(SHUNNED, self.members.len() as f64)]);
+        for table in self.members.values().filter_map(|member| member.bound) {
+            *readers.entry(table).or_insert(0.0) += 1.0;
+        }
+        let strangers = self.members.values().any(|member| member.bound.is_none());
+        let mut changes = self.differing(strangers);
         let urgent = changes.iter().filter(|change| change.rank == 0).count();
         let due = now.saturating_sub(self.flushed) >= BATCH_GAP || self.flushed == 0;
-        // Half of a limit on messages is left to what is urgent.
-        let pressing = urgent > 0 || !shuts.is_empty();
-        let most = self.pacing.messages_max / if pressing { 1 } else { 2 };
-        if !(pressing || due) || !self.may_write(now, most) {
+        let heads = self.pacing.overhead + 1.0;
+        let waiting = self.pacing.waiting(now);
+        let room = |part: f64| part * self.pacing.room - waiting;
+        // Pieces smaller than their own heads are not worth sending.
+        let least = self.members.len() as f64 * (heads + heads.min(urgent as f64));
+        let small = readers.len() > 1 && room(URGENT_ROOM) < least;
+        // Half of what a limit on messages leaves is for what is urgent.
+        let most = self.pacing.messages_half * if urgent > 0 { 1.0 } else { ORDINARY_ROOM };
+        if !(urgent > 0 || due) || small || self.pacing.written + 1.0 > most.max(1.0) {
             return;
         }
-        // Changes that only serve better wait while joiners still lack the table.
-        changes.retain(|change| readers == 0 || change.rank < 2 || strangers == 0);
-        if readers > 0 || !shuts.is_empty() {
-            let fits = self.pacing.lines_left(now, URGENT_ROOM, messages);
-            // Pieces smaller than their own heads are not worth sending.
-            if (fits as f64) < self.pacing.overhead.min((urgent + shuts.len()) as f64) {
-                return;
+        let (mut cost, mut touched) = (0.0, BTreeSet::new());
+        let mut take = |table: TableId, part: f64| {
+            let readers = readers.get(&table).copied().unwrap_or_default();
+            let more = readers * if touched.contains(&table) { 1.0 } else { 1.0 + heads };
+            let fits = readers == 0.0 || cost + more <= room(part);
+            if fits {
+                touched.insert(table);
+                cost += more;
             }
-            shuts.truncate(fits);
-            let ordinary = if due { self.pacing.lines_left(now, ORDINARY_ROOM, messages) } else { 0 };
-            let taken = shuts.len() + gates.len();
-            gates.truncate(if ordinary >= taken { gates.len() } else { 0 });
-            let most = ordinary.saturating_sub(taken).max(urgent.min(fits - shuts.len()));
-            changes.truncate(if readers > 0 { most } else { changes.len() });
-        }
-        if changes.is_empty() && gates.is_empty() && shuts.is_empty() {
+            fits
+        };
+        // Changes that only serve better wait while joiners still lack the table.
+        let waits = strangers && readers.len() > 1;
+        changes.retain(|change| match change.rank {
+            0 => take(change.table, URGENT_ROOM),
+            rank => due && (rank < 2 || !waits) && take(change.table, ORDINARY_ROOM),
+        });
+        let tables: BTreeSet<TableId> =
+            self.members.values().flat_map(|member| [member.table, member.bound.unwrap_or(WHOLE)]).collect();
+        let gates = tables.into_iter().flat_map(|table| self.gates.iter().map(move |gate| (table, *gate)));
+        let differs = |(table, gate): &(TableId, Gate)| {
+            due && self.gates_told.get(&(*table, gate.operation)) != Some(gate) && take(*table, JOIN_ROOM)
+        };
+        let gates: Vec<(TableId, Gate)> = gates.filter(differs).collect();
+        if changes.is_empty() && gates.is_empty() {
             return;
         }
         if due {
             self.flushed = now;
         }
-        post.orders.extend(shuts.iter().map(|&server| Order::Suspend { server, on: true }));
-        let mut lines = changes.len();
-        for &Change { server, want, .. } in &changes {
-            for plan in self.plans.iter().filter(|plan| plan.covers(want.locality)) {
-                post.orders.push(Order::Line { table: plan.table, server, weight: want.weight });
-            }
-            if want.weight > 0.0 && self.shunned.remove(&server) {
-                post.orders.push(Order::Suspend { server, on: false });
-                lines += 1;
-            }
-            self.told.insert(server, want.weight);
-        }
-        self.shunned.extend(shuts.iter());
-        self.shut.extend(shuts.iter());
-        self.tell_gates(&gates, post);
-        if readers > 0 || !shuts.is_empty() {
-            let heads = self.pacing.overhead + 1.0;
-            let told = readers as f64 * (heads + (lines + gates.len()) as f64);
-            let apart = if shuts.is_empty() { 0.0 } else { heads + shuts.len() as f64 };
-            self.pacing.book(told + strangers as f64 * apart, messages, post);
-            self.members.values_mut().filter(|m| m.installed).for_each(|m| m.written.push_back(now));
-        }
-    }
-
-    fn tell_gates(&mut self, gates: &[Gate], post: &mut Post) {
-        for gate in gates {
-            let operations = 1 << gate.operation;
-            for plan in self.plans.iter().filter(|plan| plan.operations & operations != 0) {
-                let (table, amount, further) = (Some(plan.table), gate.amount, gate.further);
-                post.orders.push(Order::Gate { table, operations, amount, further });
-            }
-            self.gates_told.retain(|told| told.operation != gate.operation);
-            self.gates_told.push(*gate);
+        for &Change { table, server, weight, .. } in &changes {
+            post.orders.push(match table {
+                SHUNNED => Order::Suspend { server, on: weight > 0.0 },
+                _ => Order::Line { table, server, weight },
+            });
+            self.told.insert((table, server), weight);
+        }
+        for (table, gate) in gates {
+            let (operations, amount, further) = (1 << gate.operation, gate.amount, gate.further);
+            post.orders.push(Order::Gate { table: Some(table), operations, amount, further });
+            self.gates_told.insert((table, gate.operation), gate);
+        }
+        if cost > 0.0 {
+            let reached = readers.iter().filter(|(table, _)| touched.contains(table)).map(|(_, count)| count);
+            self.pacing.book(cost, reached.sum::<f64>().min(self.members.len() as f64) as usize, post);
         }
-    }
-
-    fn may_write(&mut self, now: Nanos, most: usize) -> bool {
-        let over = self.pacing.messages_over;
-        self.members.values_mut().all(|member| {
-            while member.written.front().is_some_and(|&at| now.saturating_sub(at) > over) {
-                member.written.pop_front();
-            }
-            member.written.len() < most.max(1)
-        })
     }
 
     /// Whole tables for those that joined, as many as the channel has room for, the busiest proxies first.
     fn joins(&mut self, post: &mut Post) {
-        let lines = self.told.values().filter(|&&weight| weight > 0.0).count();
-        if lines == 0 || self.members.values().all(|member| member.installed) {
-            return;
-        }
-        let cost = self.pacing.overhead + ((lines + self.gates.len() + 2) * self.plans.len().min(2)) as f64;
+        let mut lines: BTreeMap<TableId, f64> = BTreeMap::new();
+        for ((table, _), _) in self.told.iter().filter(|(_, &weight)| weight > 0.0) {
+            *lines.entry(*table).or_default() += 1.0;
+        }
+        let mut waiting: Vec<(ProxyId, &mut Member)> =
+            self.members.iter_mut().map(|(&proxy, m)| (proxy, m)).collect();
+        waiting.retain(|(_, member)| member.bound != Some(member.table) && lines.contains_key(&member.table));
+        waiting.sort_by(|(_, a), (_, b)| a.bound.cmp(&b.bound).then(b.came.sum.total_cmp(&a.came.sum)));
         let room = self.pacing.room * JOIN_ROOM - self.pacing.waiting(post.now);
-        let fits = if room >= self.pacing.room * JOIN_ROOM { (room / cost).max(1.0) } else { room / cost };
-        let mut waiting: Vec<_> = self.members.iter_mut().filter(|(_, member)| !member.installed).collect();
-        waiting.sort_by(|a, b| b.1.rate.total_cmp(&a.1.rate));
-        waiting.truncate(fits.max(0.0) as usize);
-        for (&proxy, member) in &mut waiting {
-            for plan in self.plans.iter().filter(|plan| plan.covers(member.locality)) {
-                let (table, operations) = (plan.table, plan.operations);
-                post.orders.push(Order::Install { proxy, table, operations });
+        let idle = self.pacing.waiting == 0.0;
+        let (mut cost, mut count) = (0.0, 0);
+        for (proxy, member) in waiting {
+            let table = member.table;
+            let more = self.pacing.overhead + 2.0 + lines[&table] + self.gates.len() as f64;
+            if cost + more > room && !(idle && count == 0) {
+                break;
             }
-            member.installed = true;
-            member.written.push_back(post.now);
+            post.orders.push(Order::Install { proxy, table, operations: 0 });
+            member.bound = Some(table);
+            (cost, count) = (cost + more, count + 1);
         }
-        if !waiting.is_empty() {
-            self.pacing.book(waiting.len() as f64 * cost, waiting.len(), post);
+        if count > 0 {
+            self.pacing.book(cost, count, post);
         }
     }
 }
@@ -839,19 +836,6 @@
 
 impl Brain {
     pub fn new(facts: &StartupFacts) -> Self {
-        let home: OperationMask = mask(facts, |operation| operation.home_only);
-        let free: OperationMask = mask(facts, |operation| !operation.home_only);
-        let mut plans = Vec::new();
-        if facts.slices == 0 && free != 0 {
-            plans.push(TablePlan { table: 0, locality: None, operations: free });
-        }
-        if facts.slices == 0 && home != 0 {
-            plans.extend((0..facts.localities).map(|locality| TablePlan {
-                table: locality + 1,
-                locality: Some(locality),
-                operations: home,
-            }));
-        }
         let cold_stretch = (facts.tip_multiple * TIP_PART).max(1.0);
         let wait_stretch = (facts.tip_multiple * WAIT_PART).max(1.0);
         let amount = if facts.admission == Admission::Rate { f64::from(u32::MAX) } else { 1.0 };
@@ -881,25 +865,26 @@
                 patience: patience(facts),
                 cycle: facts.report_cycle,
                 tip_after: facts.tip_after,
-                by_locality: home != 0,
                 gates: gates.clone(),
+                blind_part: BLIND_PART,
                 avoided_from: AVOIDED.powf(1.0 / f64::from(facts.fails_to_avoid.max(1))) * wait_stretch,
                 ..Fleet::default()
             },
             channel: Channel {
-                plans,
+                supervisor: facts.supervisor.into(),
+                supervisors: facts.supervisors.into(),
+                proxies: facts.proxies.into(),
                 pacing: Pacing {
                     lines_per_ns: facts.lines_per_s / SECOND as f64,
                     nominal: facts.lines_per_s / SECOND as f64,
                     room: facts.backlog,
                     overhead: facts.message_overhead,
                     transit: facts.worst_transit,
-                    messages_max: if facts.messages_max > 0 {
-                        facts.messages_max as usize
-                    } else {
-                        usize::MAX
+                    messages_half: match facts.messages_max {
+                        0 => f64::INFINITY,
+                        most => f64::from(most) / 2.0,
                     },
-                    messages_over: facts.messages_over,
+                    messages_over: facts.messages_over.max(1),
                     ..Pacing::default()
                 },
                 gates,
@@ -922,7 +907,7 @@
             self.sort(event);
         }
         self.empty_inboxes();
-        self.post.put(Part::Fleet, Note::Beat);
+        self.post.put(Part::Fleet, Note::Beat(self.servers.keys().copied().collect()));
         self.empty_inboxes();
         self.post.put(Part::Channel, Note::Flush);
         self.empty_inboxes();
@@ -933,13 +918,12 @@
     fn sort(&mut self, event: Event) {
         let (part, note) = match event {
             Event::Roster(news) => (Part::Registry, Note::Roster(news)),
-            Event::Joined { proxy, locality, rate, .. } => {
-                (Part::Channel, Note::Joined(proxy, locality, rate))
-            }
+            Event::Joined { proxy, rate, .. } => (Part::Channel, Note::Joined(proxy, rate)),
             Event::Left { proxy } => (Part::Channel, Note::Left(proxy)),
             Event::Digest(digest) if digest.tries > 0 => (Part::Server(digest.server), Note::Digest(digest)),
-            Event::Intake { operation, total, lost, .. } => {
+            Event::Intake { proxy, operation, total, lost, .. } => {
                 let (total, lost) = (f64::from(total), f64::from(lost));
+                self.post.put(Part::Channel, Note::Came(proxy, total));
                 (Part::Fleet, Note::Intake { operation: operation.into(), total, lost })
             }
             Event::Confirmed { serial, took, .. } => (Part::Channel, Note::Confirmed { serial, took }),
@@ -965,10 +949,7 @@
                         server.take(note, &self.judging, &mut self.post);
                     }
                 }
-                Part::Fleet => {
-                    let ids: Vec<ServerId> = self.servers.keys().copied().collect();
-                    self.fleet.take(note, &ids, &mut self.post);
-                }
+                Part::Fleet => self.fleet.take(note, &mut self.post),
                 Part::Channel => self.channel.take(note, &mut self.post),
             }
         }
@@ -981,8 +962,3 @@
     let weighed = facts.operations.iter().map(|o| o.billed_value * o.latency_objective as f64);
     PATIENCE * weighed.sum::<f64>() / value.max(f64::MIN_POSITIVE)
 }
-
-fn mask(facts: &StartupFacts, wanted: impl Fn(&Operation) -> bool) -> OperationMask {
-    let chosen = facts.operations.iter().enumerate().filter(|(_, operation)| wanted(operation));
-    chosen.fold(0, |mask, (at, _)| mask | 1 << at)
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod brain;
 pub mod interface;
 mod notes;
+mod state;
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -42,15 +42,29 @@
     Digest(Digest),
     Weigh(Picture),
     Held(bool),
-    Intake { operation: usize, total: f64, lost: f64 },
-    Met { tries: f64, lost: f64, time: f64 },
+    Intake {
+        operation: usize,
+        total: f64,
+        lost: f64,
+    },
+    Met {
+        tries: f64,
+        lost: f64,
+        time: f64,
+    },
     Standing(Standing),
-    Beat,
+    Beat(Vec<ServerId>),
     Want(ServerId, Want),
     Gates(Vec<Gate>),
-    Joined(ProxyId, LocalityId, f64),
+    /// Are proxies to be kept apart, each with few servers?
+    Apart(bool),
+    Joined(ProxyId, f64),
+    Came(ProxyId, f64),
     Left(ProxyId),
-    Confirmed { serial: u64, took: Nanos },
+    Confirmed {
+        serial: u64,
+        took: Nanos,
+    },
     Flush,
 }
 
@@ -106,18 +120,18 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct Want {
     pub(crate) weight: f64,
-    pub(crate) locality: LocalityId,
     /// A rule hangs on it: it does not wait for the next batch.
     pub(crate) urgent: bool,
     /// It drains or is gone: no joined proxy may send to it.
     pub(crate) binds: bool,
 }
 
-/// A line that differs from what proxies were told, how it ranks and how much weight it moves.
+/// A line that differs from what was told, how it ranks and how much weight it moves.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Change {
+    pub(crate) table: TableId,
     pub(crate) server: ServerId,
-    pub(crate) want: Want,
+    pub(crate) weight: f64,
     pub(crate) rank: u8,
     pub(crate) moved: f64,
 }
@@ -139,26 +153,13 @@
     pub(crate) failed: Fading,
 }
 
-/// A table of this instance: for some operations, and for one locality where they may not leave it.
-#[derive(Clone, Debug)]
-pub(crate) struct TablePlan {
-    pub(crate) table: TableId,
-    pub(crate) locality: Option<LocalityId>,
-    pub(crate) operations: OperationMask,
-}
-
-impl TablePlan {
-    pub(crate) fn covers(&self, locality: LocalityId) -> bool {
-        self.locality.is_none_or(|own| own == locality)
-    }
-}
-
 #[derive(Debug, Default)]
 pub(crate) struct Member {
-    pub(crate) locality: LocalityId,
-    pub(crate) rate: f64,
-    pub(crate) installed: bool,
-    pub(crate) written: VecDeque<Nanos>,
+    /// Invocations that came to it.
+    pub(crate) came: Fading,
+    /// The table that it should use, and the one that it was put on.
+    pub(crate) table: TableId,
+    pub(crate) bound: Option<TableId>,
 }
 
 /// Figures by which a server judges itself.
