Call a server silent only after a round of reports and a late answer

Now the span that reports were counted over, plus a late answer, must pass too; servers outside our small tables are expected to answer nothing.

It could hide a hang for a second.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -180,9 +180,11 @@
             self.answered.add(now, LEARNING, answered);
             self.time.add(now, LEARNING, time);
         }
-        self.unanswered = if answered > 0.0 { -1.0 } else { self.unanswered };
+        if answered > 0.0 {
+            (self.unanswered, self.heard) = (-1.0, now);
+        }
         self.clean = answered > lost;
-        post.put(Part::Fleet, Note::Met { tries, lost, time });
+        post.put(Part::Fleet, Note::Met { tries, lost, time, window: digest.window as f64 });
     }
 
     /// Mean answer time, drawn towards its kind's by some tries' worth of credit.
@@ -221,7 +223,8 @@
             time.filter(|_| picture.median_time > 0.0).map_or(1.0, |time| time / picture.median_time);
         let time_score = ((slower - 1.0) / (CRITICAL_TIME - 1.0)).clamp(0.0, 1.0);
         let goodness = 1.0 - (error_score + time_score) / 2.0;
-        let fault = if self.unanswered > SILENCE {
+        let hushed = now.saturating_sub(self.heard.max(self.since)) as f64 > picture.hush;
+        let fault = if self.unanswered > SILENCE && hushed {
             Some(Fault::Silence)
         } else if picture.general {
             None
@@ -313,7 +316,7 @@
 impl Fleet {
     fn take(&mut self, note: Note, post: &mut Post) {
         match note {
-            Note::Met { tries, lost, time } => {
+            Note::Met { tries, lost, time, window } => {
                 // A gap in the reports shows that they come late, or that this instance stood still or has just started.
                 let gap = post.now.saturating_sub(self.heard);
                 if gap > 2 * self.cycle {
@@ -322,6 +325,8 @@
                     self.blind_part = if tips_unseen { 0.0 } else { BLIND_PART };
                 }
                 self.heard = post.now;
+                self.rounds.0.add(post.now, SCORE_MEMORY, window);
+                self.rounds.1.add(post.now, SCORE_MEMORY, 1.0);
                 self.answered += tries - lost;
                 for (sum, amount) in self.recent.iter_mut().zip([tries, lost, tries - lost, time]) {
                     sum.add(post.now, self.cycle, amount);
@@ -335,6 +340,7 @@
                     demand.failed.add(post.now, self.cycle, lost);
                 }
             }
+            Note::Used(used) => self.used = used,
             Note::Beat(ids) => self.ask_all(ids, post),
             Note::Standing(standing) => {
                 self.standings.insert(standing.row.server, standing);
@@ -349,12 +355,15 @@
 
     fn ask_all(&mut self, ids: Vec<ServerId>, post: &mut Post) {
         let ready = || self.standings.values().filter(|s| s.ready());
+        // Kept apart, our proxies use only some of the servers.
+        self.told.retain(|id, _| self.used.is_empty() || self.used.contains(id));
         let total: f64 = self.told.values().sum();
         let picture = Picture {
             median_time: median(ready().filter_map(|s| s.time).collect()),
             common_error: median(ready().map(|s| s.error).collect()),
             answered: std::mem::take(&mut self.answered),
             general: self.general,
+            hush: self.patience + self.rounds.0.sum / self.rounds.1.sum.max(1.0),
             ..Picture::default()
         };
         let mut kinds: BTreeMap<u16, (f64, f64)> = BTreeMap::new();
@@ -602,6 +611,7 @@
                     self.split(apart);
                 }
                 self.refill();
+                post.put(Part::Fleet, Note::Used(self.parts.iter().map(|part| part.1).collect()));
             }
             Note::Joined(proxy, rate) => {
                 let came = Fading { sum: rate * LEARNING as f64 / SECOND as f64, at: post.now };
@@ -655,9 +665,11 @@
             member.table = WHOLE + 1 + ((to + part / 2.0) * groups as f64) as TableId;
             to += part;
             ends.insert(member.table, to);
-            let least = LEAST_CHOICE * weights / window.len() as f64;
-            *self.sizes.entry(member.table).or_insert(least) += part * weights;
+            *self.sizes.entry(member.table).or_default() += part * weights;
         }
+        // A small group still gets some choice.
+        let least = LEAST_CHOICE * weights / window.len() as f64;
+        self.sizes.values_mut().for_each(|size| *size = size.max(least));
         let mut at = 0.0;
         for (server, weight) in window {
             let middle = (at + weight / 2.0) / weights;
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -203,12 +203,18 @@
 }
 
 #[rstest]
-#[case::others_answer(30.0, Some(Fault::Silence))]
-#[case::nothing_heard_of_anyone(0.0, None)]
-fn silence_counts_while_others_are_heard(#[case] answered: f64, #[case] fault: Option<Fault>) {
+#[case::others_answer(30.0, 1, Some(Fault::Silence))]
+#[case::nothing_heard_of_anyone(0.0, 1, None)]
+#[case::its_report_is_not_due(30.0, 20, None)]
+fn silence_counts_while_others_are_heard_and_reports_are_due(
+    #[case] answered: f64,
+    #[case] round: u64,
+    #[case] fault: Option<Fault>,
+) {
     let mut server = Server::new(row(1), START);
     server.felt_share = 0.25;
-    let picture = Picture { answered, share: 0.25, ..Picture::default() };
+    let hush = (round * SECOND) as f64;
+    let picture = Picture { answered, hush, share: 0.25, ..Picture::default() };
     let standing = server.weigh(picture, &judging(), START + 10 * SECOND);
     assert_eq!(standing.fault, fault);
 }
@@ -349,7 +355,7 @@
     let mut fleet = Fleet { cycle: SECOND, heard, ..fleet(warm.chain([cold])) };
     for now in [START, START + gap * SECOND] {
         let mut post = Post { now, ..Post::default() };
-        fleet.take(Note::Met { tries: 9.0, lost: 2.0, time: 0.0 }, &mut post);
+        fleet.take(Note::Met { tries: 9.0, lost: 2.0, time: 0.0, window: 0.0 }, &mut post);
     }
     fleet.weights(&BTreeSet::new(), 0.75, START + gap * SECOND);
     assert_eq!(fleet.told[&20] == 0.0, waits);
@@ -396,7 +402,7 @@
     let mut post = Post::default();
     for (cycle, time) in times.into_iter().enumerate() {
         post.now = START + cycle as u64 * 10 * SECOND;
-        fleet.take(Note::Met { tries: 50.0, lost: 0.0, time: 50.0 * time as f64 }, &mut post);
+        fleet.take(Note::Met { tries: 50.0, lost: 0.0, time: 50.0 * time as f64, window: 0.0 }, &mut post);
         for operation in 0..2 {
             fleet.take(Note::Intake { operation, total: 25.0, lost: 0.0 }, &mut post);
         }
@@ -546,7 +552,7 @@
 fn losses_at_most_servers_keep_proxies_apart_unless_answers_are_late(#[case] slow: f64, #[case] kept: bool) {
     let mut fleet = fleet((1..=10).map(|id| Standing { error: 0.5, ..standing(id) }));
     let post = &mut Post { now: START, ..Post::default() };
-    fleet.take(Note::Met { tries: 90.0, lost: 45.0, time: 45.0 * slow * SECOND as f64 }, post);
+    fleet.take(Note::Met { tries: 90.0, lost: 45.0, time: 45.0 * slow * SECOND as f64, window: 0.0 }, post);
     fleet.keep_apart(0.5, post);
     assert_eq!(fleet.apart_until > START, kept);
 }
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -1,7 +1,7 @@
 //! How the parts of the decision module talk: notes put into inboxes, and the fading sums they keep.
 //! Nothing is decided here.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::interface::*;
 
@@ -51,6 +51,7 @@
         tries: f64,
         lost: f64,
         time: f64,
+        window: f64,
     },
     Standing(Standing),
     Beat(Vec<ServerId>),
@@ -58,6 +59,8 @@
     Gates(Vec<Gate>),
     /// Are proxies to be kept apart, each with few servers?
     Apart(bool),
+    /// Servers on the small tables of our proxies.
+    Used(BTreeSet<ServerId>),
     Joined(ProxyId, f64),
     Came(ProxyId, f64),
     Left(ProxyId),
@@ -79,6 +82,8 @@
     pub(crate) general: bool,
     /// Answers in this batch's reports, all servers together.
     pub(crate) answered: f64,
+    /// A sound server may go unheard for so long: a round of the reports and a late answer.
+    pub(crate) hush: f64,
     /// This server's part of all weight told to proxies.
     pub(crate) share: f64,
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,6 +25,7 @@
     pub(crate) time: Fading,
     /// Its share of the weight as proxies have felt it: what was told, late.
     pub(crate) felt_share: f64,
+    pub(crate) heard: Nanos,
     /// Answers expected of it since its last one.
     pub(crate) unanswered: f64,
     pub(crate) level: f64,
@@ -45,6 +46,8 @@
     pub(crate) awaited: usize,
     pub(crate) answered: f64,
     pub(crate) heard: Nanos,
+    /// Spans that reports of late were counted over, and how many reports.
+    pub(crate) rounds: (Fading, Fading),
     pub(crate) usual: Fading,
     pub(crate) blind_until: Nanos,
     pub(crate) blind_part: f64,
@@ -63,6 +66,8 @@
     pub(crate) cycle: Nanos,
     pub(crate) levelled: Nanos,
     pub(crate) told: BTreeMap<ServerId, f64>,
+    /// Servers that our proxies use, where these are kept apart.
+    pub(crate) used: BTreeSet<ServerId>,
     /// Until when proxies are kept apart, each with few servers, and for how long the next time.
     pub(crate) apart_until: Nanos,
     pub(crate) apart_for: Nanos,
