Judge errors on more tries; read the channel's pace from each confirmation

Cause: a message's first confirmation was taken for the whole batch, so a slower channel was seen late. Now each answer tells of the lines before it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,7 +39,7 @@
 const BATCH_GAP: Nanos = SECOND;
 
 /// Tries that a server is credited with beforehand: a few bad ones of a heavy tail are no evidence.
-const CREDIT: f64 = 2.0;
+const CREDIT: f64 = 4.0;
 /// Answers that a server's kind stands for when its own time is learned.
 const KIND_CREDIT: f64 = 24.0;
 /// Answers that other servers' reports led us to expect, none of which came: silence (chance: e^-7).
@@ -78,7 +78,7 @@
 /// With less than this part of the usual ready weight warm, the warm are about to jam.
 const WARM_LEAST: f64 = 0.4;
 /// Part of the channel's room that ordinary changes, joins, and what a rule hangs on may fill.
-const ORDINARY_ROOM: f64 = 0.5;
+const ORDINARY_ROOM: f64 = 0.3;
 const JOIN_ROOM: f64 = 0.8;
 const URGENT_ROOM: f64 = 0.9;
 
@@ -580,23 +580,24 @@
 
     /// Books what was ordered, and has the messages answered.
     fn book(&mut self, lines: f64, messages: usize, post: &mut Post) {
-        self.waiting += lines;
-        self.written += 1.0;
         self.serial = self.serial.wrapping_add(1);
-        self.fenced.insert(self.serial.into(), (self.waiting, messages));
+        self.fenced.insert(self.serial.into(), Fence { before: self.waiting, lines, messages, answers: 0 });
         self.fenced.retain(|&serial, _| serial + 64 > self.serial.into());
+        self.waiting += lines;
+        self.written += 1.0;
         post.orders.push(Order::FencePost { serial: self.serial, everyone: false });
     }
 
-    /// A channel slower than told shows in late confirmations: the account then drains at the pace seen. The
-    /// last of the answers tells it best; an earlier one counts where it tells of a slower pace.
+    /// A channel slower than told shows in late confirmations: the account then drains at the pace seen. Messages
+    /// leave in turn, so each answer tells of what stood before it; where that is less than the way takes, it
+    /// tells nothing.
     fn confirmed(&mut self, serial: u64, took: Nanos) {
-        let Some((lines, due)) = self.fenced.get_mut(&serial) else { return };
-        *due = due.saturating_sub(1);
-        let queued = took.saturating_sub(self.transit) as f64;
-        let pace = if queued > 0.0 { (*lines / queued).min(self.nominal) } else { self.nominal };
-        if *due == 0 || pace < self.lines_per_ns {
-            self.lines_per_ns = pace;
+        let Some(fence) = self.fenced.get_mut(&serial) else { return };
+        fence.answers += 1;
+        let lines = fence.before + fence.lines * fence.answers as f64 / fence.messages.max(1) as f64;
+        let queued = took.saturating_sub(self.transit).max(1) as f64;
+        if lines > self.nominal * self.transit as f64 {
+            self.lines_per_ns = (lines / queued).min(self.nominal);
         }
     }
 }
@@ -891,7 +892,7 @@
                     nominal: facts.lines_per_s / SECOND as f64,
                     room: facts.backlog,
                     overhead: facts.message_overhead,
-                    transit: facts.worst_transit,
+                    transit: facts.mean_transit,
                     messages_half: match facts.messages_max {
                         0 => f64::INFINITY,
                         most => f64::from(most) / 2.0,
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -167,6 +167,15 @@
     pub(crate) bound: Option<TableId>,
 }
 
+/// Marked messages: the lines that waited before them, their own, how many they are and how many answered.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Fence {
+    pub(crate) before: f64,
+    pub(crate) lines: f64,
+    pub(crate) messages: usize,
+    pub(crate) answers: usize,
+}
+
 /// Figures by which a server judges itself.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Judging {
--- a/src/state.rs
+++ b/src/state.rs
@@ -88,8 +88,7 @@
     pub(crate) waiting: f64,
     pub(crate) at: Nanos,
     pub(crate) serial: u16,
-    /// Marked messages: the lines that waited once they were ordered, and the answers still to come.
-    pub(crate) fenced: BTreeMap<u64, (f64, usize)>,
+    pub(crate) fenced: BTreeMap<u64, Fence>,
     /// Messages written of late; half of the limit may be written at once, the other half over its span.
     pub(crate) written: f64,
     pub(crate) messages_half: f64,
