Let small tables stand until the last proxy has left them

Now they stand until left; joiners meanwhile take the table with the least load for its size, and nothing is dealt anew for them.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -612,12 +612,19 @@
                     self.split(apart);
                 }
                 self.refill();
-                post.put(Part::Fleet, Note::Used(self.parts.iter().map(|part| part.1).collect()));
+                let used = self.parts.iter().filter(|_| self.apart).map(|part| part.1);
+                post.put(Part::Fleet, Note::Used(used.collect()));
             }
             Note::Joined(proxy, rate) => {
                 let came = Fading { sum: rate * LEARNING as f64 / SECOND as f64, at: post.now };
-                self.members.insert(proxy, Member { came, ..Member::default() });
-                self.split(self.apart);
+                // While kept apart it goes where least comes for the size.
+                let load = |(&table, size): (&TableId, &f64)| {
+                    let users = self.members.values().filter(|member| member.table == table);
+                    (users.map(|member| member.came.sum).sum::<f64>() / size, table)
+                };
+                let loads = self.sizes.iter().filter(|_| self.apart).map(load);
+                let table = loads.min_by(|a, b| a.0.total_cmp(&b.0)).map_or(WHOLE, |(_, table)| table);
+                self.members.insert(proxy, Member { came, table, ..Member::default() });
                 // What was ordered before has not reached it.
                 self.told.range_mut((SHUNNED, 0)..).for_each(|(_, told)| *told /= 2.0);
             }
@@ -646,8 +653,6 @@
     /// and our part of the proxies, so supervisors need not agree.
     fn split(&mut self, apart: bool) {
         self.apart = apart;
-        self.parts.clear();
-        self.sizes.clear();
         self.members.values_mut().for_each(|member| member.table = WHOLE);
         let sound = self.sound();
         let count = sound.len() as f64;
@@ -657,8 +662,11 @@
         let groups = (self.members.len() / GROUP_PROXIES).min(ours / GROUP_SERVERS);
         let rates: f64 = self.members.values().map(|member| member.came.sum).sum();
         if !apart || groups < 2 || rates <= 0.0 {
+            // Small tables that there are stand until the last proxy has left them.
             return;
         }
+        self.parts.clear();
+        self.sizes.clear();
         let weights: f64 = window.iter().map(|(_, weight)| weight).sum();
         let (mut to, mut ends) = (0.0, BTreeMap::new());
         for member in self.members.values_mut() {
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -587,6 +587,20 @@
     assert_eq!(others(&channel.parts), others(&before));
 }
 
+#[rstest]
+fn small_tables_stand_until_the_last_proxy_has_left_them(facts: StartupFacts) {
+    let mut channel = apart(facts);
+    let post = &mut Post { now: START + 40 * SECOND, ..Post::default() };
+    (channel.pacing.waiting, channel.pacing.at) = (channel.pacing.room / 2.0, post.now);
+    for note in [Note::Apart(false), Note::Flush] {
+        channel.take(note, post);
+    }
+    assert!(channel.members.values().any(|member| member.bound != Some(WHOLE)));
+    for table in channel.members.values().filter_map(|member| member.bound) {
+        assert!(channel.told.iter().any(|((at, _), weight)| *at == table && *weight > 0.0));
+    }
+}
+
 #[rstest]
 fn a_hundred_joiners_get_a_large_table_in_turn(facts: StartupFacts) {
     let mut brain = large(facts, 400, 100);
