Count unanswered lines as waiting, tell of drains first, let joins leave room

Now what is not answered still waits in the account, less what travels; what a proxy that left owes is dropped, the rest taken for lost after four times the span in which a full channel empties.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -17,13 +17,11 @@
 // The design page's own figures.
 /// A server's score is its mean over this long.
 const SCORE_MEMORY: Nanos = 5 * SECOND;
-/// One minus the score below this: red.
+/// One minus the score: below the first red, above the second green.
 const CRITICAL_GOODNESS: f64 = 0.3;
-/// One minus the score above this: green.
 const GOOD_GOODNESS: f64 = 0.7;
-/// Error share, over the fleet's own, at which the error score is 1.
+/// Error share, over the fleet's own, and answer time, as a multiple of its median, at which a score is 1.
 const CRITICAL_ERROR: f64 = 0.5;
-/// Answer time, as a multiple of the fleet's median, at which the time score is 1.
 const CRITICAL_TIME: f64 = 3.0;
 /// Past an edge for this long before a band changes.
 const DWELL: Nanos = 3 * SECOND;
@@ -79,8 +77,10 @@
 const WARM_LEAST: f64 = 0.4;
 /// Part of the channel's room that ordinary changes, joins, and what a rule hangs on may fill.
 const ORDINARY_ROOM: f64 = 0.3;
-const JOIN_ROOM: f64 = 0.8;
+const JOIN_ROOM: f64 = 0.5;
 const URGENT_ROOM: f64 = 0.9;
+/// What is not answered in so many times the span in which a full channel empties is taken for lost.
+const SLOWEST: f64 = 4.0;
 
 /// The table of all proxies on the ordinary path; small ones are numbered after it. What joiners are told to
 /// shun, whatever they hold, is kept like one more table.
@@ -93,6 +93,7 @@
 const GROUP_PROXIES: usize = 2;
 const GROUP_SERVERS: usize = 6;
 const LEAST_CHOICE: f64 = 3.0;
+const SMALL_COLD: f64 = 0.5;
 const APART_FOR: Nanos = 6 * SCORE_MEMORY;
 
 const BEAT: u64 = 1;
@@ -102,8 +103,7 @@
     fn take(&mut self, note: Note, post: &mut Post) {
         match note {
             Note::Roster(RosterNews::Failed) => {
-                // Guards against a crowd of calls at a list service that is already late; the wait doubles
-                // and is spread by chance, and never leaves the time after which we are deemed told.
+                // Guards against a crowd of calls at a list service that is late, within the time told for it.
                 let wait = (self.patience >> 4 << self.failures.min(4)) as f64;
                 self.failures += 1;
                 let span = (wait * (0.5 + 0.5 * self.chance.rand_float())) as Nanos;
@@ -156,15 +156,22 @@
                 if started {
                     *self = Server::new(row, now);
                 }
-                self.row = row;
+                // A drain that was told still binds when the server is gone.
+                let drained = self.row.readiness == Readiness::Draining && row.readiness == Readiness::Gone;
+                self.row =
+                    RosterRow { readiness: if drained { self.row.readiness } else { row.readiness }, ..row };
             }
-            Note::Delisted => self.row.readiness = Readiness::Gone,
+            Note::Delisted if self.row.readiness == Readiness::Ready => self.row.readiness = Readiness::Gone,
             Note::Digest(digest) => self.hear(&digest, now, post),
             Note::Weigh(picture) => {
                 let standing = self.weigh(picture, judging, now);
                 post.put(Part::Fleet, Note::Standing(standing));
             }
-            Note::Held(out) => self.held(out, now, post),
+            Note::Held(true) if self.out_since.is_none() => {
+                let fault = self.fault.unwrap_or(Fault::Score);
+                self.out_since = Some(now);
+                post.remark(format!("server {} withdrawn: {fault:?}", self.row.server));
+            }
             _ => {}
         }
     }
@@ -289,14 +296,6 @@
         }
     }
 
-    fn held(&mut self, out: bool, now: Nanos, post: &mut Post) {
-        if out && self.out_since.is_none() {
-            let fault = self.fault.unwrap_or(Fault::Score);
-            self.out_since = Some(now);
-            post.remark(format!("server {} withdrawn: {fault:?}", self.row.server));
-        }
-    }
-
     /// Back at a tenth; a server that fails again soon stays out twice as long.
     fn come_back(&mut self, now: Nanos) {
         let term = (2 * self.term).min(4 * FIRST_TERM);
@@ -317,7 +316,7 @@
     fn take(&mut self, note: Note, post: &mut Post) {
         match note {
             Note::Met { tries, lost, time, window } => {
-                // A gap in the reports shows that they come late, or that this instance stood still or has just started.
+                // A gap in the reports: they come late, or this instance stood still or has just started.
                 let gap = post.now.saturating_sub(self.heard);
                 if gap > 2 * self.cycle {
                     self.blind_until = post.now + BLIND_FOR;
@@ -355,7 +354,6 @@
 
     fn ask_all(&mut self, ids: Vec<ServerId>, post: &mut Post) {
         let ready = || self.standings.values().filter(|s| s.ready());
-        // Kept apart, our proxies use only some of the servers.
         self.told.retain(|id, _| self.used.is_empty() || self.used.contains(id));
         let total: f64 = self.told.values().sum();
         let picture = Picture {
@@ -428,11 +426,10 @@
 
     /// Weights of the servers that stay in. A fault that may not be withdrawn keeps the least weight.
     ///
-    /// Guards cold servers against the work that others' withdrawals, damping or death send their way: the
-    /// share of a cold one never exceeds what it would be if all ready servers were in at full weight, less
-    /// the part by which lost tries come again. When tries fail so often, or would on the few warm servers
-    /// left, that proxies avoid these by themselves, all work would land on the cold: those wait outside the
-    /// table, warming by time, as long as a warm one is in. Fewer lost tries are enough where what is known
+    /// Guards cold servers against the work that others' withdrawals, damping or death send their way: a cold
+    /// one's share never exceeds what it would be if all ready servers were in at full weight, less the part by
+    /// which lost tries come again. When so many are lost, or would be on the few warm ones left, that proxies
+    /// avoid these by themselves, the cold wait outside, as long as a warm one is in; sooner where what is known
     /// may be old. It costs capacity whenever losses have another cause.
     fn weights(&mut self, out: &BTreeSet<ServerId>, kept: f64, now: Nanos) {
         let ready = self.standings.values().filter(|s| s.ready());
@@ -463,8 +460,7 @@
     /// Guards against connections that are hard to get, whatever the cause: servers that accept few, or take long
     /// to set them up. Tries then fail at most servers though answers are not late; a table of all servers makes
     /// nearly each try at a large fleet a new connection. For a term, few proxies share few servers. It could
-    /// harm in a failure of another kind that hits most servers at once, by uneven load; it moves no try to a
-    /// cold server.
+    /// harm in a failure of another kind that hits most servers at once, by uneven load.
     fn keep_apart(&mut self, lost_share: f64, post: &mut Post) {
         if post.now < self.apart_until {
             return post.put(Part::Channel, Note::Apart(true));
@@ -485,9 +481,8 @@
         post.put(Part::Channel, Note::Apart(self.apart_until > 0));
     }
 
-    /// Further tries only after proof that the first never ran, which is safe for every operation: tries cut
-    /// off to be repeated elsewhere cost more work than they save. When failures are general even those
-    /// only feed the load, and bring cold servers what the warm turned away.
+    /// Further tries only after proof that the first never ran, which is safe for every operation. When failures
+    /// are general even those only feed the load, and bring cold servers what the warm turned away.
     fn set_gates(&mut self, share: f64, post: &mut Post) {
         let before = self.general;
         self.general = share > if before { FURTHER_BACK } else { FURTHER_CUT };
@@ -502,12 +497,10 @@
         post.put(Part::Channel, Note::Gates(self.gates.clone()));
     }
 
-    /// Where levels are heeded: once answers come late, lets in what the ready servers have shown to bear, the
-    /// highest billed value for its objective first, and feels its way up again.
-    ///
-    /// Guards against any lack of capacity, whatever its cause: late answers are worth next to nothing and
-    /// cost as much. What servers bore is kept for each unit of ready weight, so that losses and returns count
-    /// at once. It could harm where answers are slow for reasons that less work does not mend.
+    /// Where levels are heeded: once answers come late, lets in what the ready servers have shown to bear, kept
+    /// for each unit of ready weight, the highest billed value for its objective first, and feels its way up.
+    /// Guards against any lack of capacity, since late answers are worth next to nothing and cost as much. It
+    /// could harm where answers are slow for reasons that less work does not mend.
     fn set_levels(&mut self, ready: f64, post: &mut Post) {
         let now = post.now;
         if self.demands.is_empty() || now.saturating_sub(self.levelled) < self.cycle {
@@ -574,32 +567,24 @@
         let elapsed = now.saturating_sub(self.at) as f64;
         self.at = now;
         self.written = (self.written - self.messages_half * elapsed / self.messages_over as f64).max(0.0);
-        self.waiting = (self.waiting - elapsed * self.lines_per_ns).max(0.0);
+        // What is not answered yet, less what travels, still waits: so a slow channel shows.
+        let (pace, most) = (self.lines_per_ns, SLOWEST * self.room);
+        self.fenced.retain(|_, fence| now.saturating_sub(fence.at) as f64 * pace < most);
+        let open = |fence: &Fence| fence.lines * (1.0 - fence.answers / fence.messages).max(0.0);
+        let open = self.fenced.values().map(open).sum::<f64>() - pace * self.transit as f64;
+        self.waiting = (self.waiting - elapsed * self.lines_per_ns).max(open).max(0.0);
         self.waiting
     }
 
     /// Books what was ordered, and has the messages answered.
     fn book(&mut self, lines: f64, messages: usize, post: &mut Post) {
         self.serial = self.serial.wrapping_add(1);
-        self.fenced.insert(self.serial.into(), Fence { before: self.waiting, lines, messages, answers: 0 });
-        self.fenced.retain(|&serial, _| serial + 64 > self.serial.into());
+        let fence = Fence { at: post.now, lines, messages: messages.max(1) as f64, answers: 0.0 };
+        self.fenced.insert(self.serial.into(), fence);
         self.waiting += lines;
         self.written += 1.0;
         post.orders.push(Order::FencePost { serial: self.serial, everyone: false });
     }
-
-    /// A channel slower than told shows in late confirmations: the account then drains at the pace seen. Messages
-    /// leave in turn, so each answer tells of what stood before it; where that is less than the way takes, it
-    /// tells nothing.
-    fn confirmed(&mut self, serial: u64, took: Nanos) {
-        let Some(fence) = self.fenced.get_mut(&serial) else { return };
-        fence.answers += 1;
-        let lines = fence.before + fence.lines * fence.answers as f64 / fence.messages.max(1) as f64;
-        let queued = took.saturating_sub(self.transit).max(1) as f64;
-        if lines > self.nominal * self.transit as f64 {
-            self.lines_per_ns = (lines / queued).min(self.nominal);
-        }
-    }
 }
 
 impl Channel {
@@ -633,11 +618,17 @@
                     member.came.add(post.now, LEARNING, total);
                 }
             }
-            Note::Left(proxy) => drop(self.members.remove(&proxy)),
-            Note::Confirmed { serial, took } => self.pacing.confirmed(serial, took),
+            Note::Left(proxy) => {
+                self.members.remove(&proxy);
+                self.pacing.fenced.values_mut().for_each(|fence| fence.answers += 1.0);
+            }
+            Note::Confirmed(serial) => {
+                self.pacing.fenced.entry(serial).and_modify(|fence| fence.answers += 1.0);
+            }
             Note::Flush => {
-                self.changes(post);
-                self.joins(post);
+                // Whole tables must not take the room that a rule needs.
+                let part = if self.changes(post) { JOIN_ROOM } else { ORDINARY_ROOM };
+                self.joins(part, post);
             }
             _ => {}
         }
@@ -667,6 +658,7 @@
         }
         self.parts.clear();
         self.sizes.clear();
+        self.dealt = self.wants.keys().copied().collect();
         let weights: f64 = window.iter().map(|(_, weight)| weight).sum();
         let (mut to, mut ends) = (0.0, BTreeMap::new());
         for member in self.members.values_mut() {
@@ -689,8 +681,15 @@
     }
 
     /// A small table that has lost half of its weight gets more of the sound servers; the others stay as dealt.
+    /// A server first listed since goes, cold or not, to one table of the supervisor that its number falls to.
     fn refill(&mut self) {
         let sound = self.sound();
+        let ours = |server: ServerId| f64::from(server) % self.supervisors.max(1.0) == self.supervisor;
+        let fresh = self.wants.keys().filter(|server| ours(**server) && !self.dealt.contains(server));
+        for (&server, at) in fresh.zip(self.sizes.keys().cycle().skip(self.dealt.len())) {
+            self.parts.insert((*at, server));
+        }
+        self.dealt.extend(self.wants.keys());
         for (&table, size) in &self.sizes {
             let lines = self.parts.range((table, 0)..(table + 1, 0));
             let mut sum: f64 = lines.map(|&(_, server)| self.wanted(table, server)).sum();
@@ -704,14 +703,14 @@
         }
     }
 
-    /// What a table should say of a server; a cold one's share would be large in a small table: it stays out.
+    /// What a table should say of a server. A small table may have lost half of its weight: a cold one gets half.
     fn wanted(&self, table: TableId, server: ServerId) -> f64 {
         let want = self.wants.get(&server).copied().unwrap_or_default();
         match table {
             WHOLE => want.weight,
             SHUNNED if want.urgent && want.weight == 0.0 => 1.0,
-            _ if want.urgent => 0.0,
-            _ => want.weight * f64::from(u8::from(self.parts.contains(&(table, server)))),
+            _ if !self.parts.contains(&(table, server)) => 0.0,
+            _ => want.weight * if want.urgent { SMALL_COLD } else { 1.0 },
         }
     }
 
@@ -728,8 +727,10 @@
             let weight = self.wanted(table, server);
             let moved = (weight - told).abs();
             if moved > WEIGHT_STEP * told {
-                let urgent = weight < told && self.wants.get(&server).is_some_and(|want| want.urgent);
-                // A small table that is dealt anew is filled before it is cut.
+                let want = self.wants.get(&server).copied().unwrap_or_default();
+                let urgent = weight < told && want.urgent;
+                // What drains goes ahead of all; a small table is filled before it is cut.
+                let moved = if want.binds { f64::MAX / (1.0 + f64::from(SHUNNED - table)) } else { moved };
                 let fills = table > WHOLE && weight > told && (told == 0.0 || table == SHUNNED);
                 let rank = if urgent || fills { 0 } else { 1 + u8::from(weight > 0.0) };
                 changes.push(Change { table, server, weight, rank, moved });
@@ -744,13 +745,13 @@
     /// Guards the channel's limit against anything that changes many lines at once, a mass restart, a wrong
     /// list or noise. Drained or gone servers must be left, and cold ones kept from a full share, whatever else
     /// waits. It could harm where much changes for good reasons: then the table lags behind by seconds.
-    fn changes(&mut self, post: &mut Post) {
+    fn changes(&mut self, post: &mut Post) -> bool {
         let now = post.now;
-        let mut readers = BTreeMap::from([(SHUNNED, self.members.len() as f64)]);
-        for table in self.members.values().filter_map(|member| member.bound) {
-            *readers.entry(table).or_insert(0.0) += 1.0;
+        let mut readers = BTreeMap::new();
+        for member in self.members.values() {
+            *readers.entry(member.bound.unwrap_or(SHUNNED)).or_insert(0.0) += 1.0;
         }
-        let strangers = self.members.values().any(|member| member.bound.is_none());
+        let strangers = readers.contains_key(&SHUNNED);
         let mut changes = self.differing(strangers);
         let urgent = changes.iter().filter(|change| change.rank == 0).count();
         let due = now.saturating_sub(self.flushed) >= BATCH_GAP || self.flushed == 0;
@@ -759,11 +760,12 @@
         let room = |part: f64| part * self.pacing.room - waiting;
         // Pieces smaller than their own heads are not worth sending.
         let least = self.members.len() as f64 * (heads + heads.min(urgent as f64));
-        let small = readers.len() > 1 && room(URGENT_ROOM) < least;
+        let bound = readers.keys().any(|&table| table != SHUNNED);
+        let small = bound && room(URGENT_ROOM) < least;
         // Half of what a limit on messages leaves is for what is urgent.
         let most = self.pacing.messages_half * if urgent > 0 { 1.0 } else { ORDINARY_ROOM };
         if !(urgent > 0 || due) || small || self.pacing.written + 1.0 > most.max(1.0) {
-            return;
+            return urgent == 0;
         }
         let (mut cost, mut touched) = (0.0, BTreeSet::new());
         let mut take = |table: TableId, part: f64| {
@@ -777,24 +779,22 @@
             fits
         };
         // Changes that only serve better wait while joiners still lack the table.
-        let waits = strangers && readers.len() > 1;
         changes.retain(|change| match change.rank {
             0 => take(change.table, URGENT_ROOM),
-            rank => due && (rank < 2 || !waits) && take(change.table, ORDINARY_ROOM),
+            rank => due && (rank < 2 || !strangers || !bound) && take(change.table, ORDINARY_ROOM),
         });
-        let tables: BTreeSet<TableId> =
-            self.members.values().flat_map(|member| [member.table, member.bound.unwrap_or(WHOLE)]).collect();
+        let used = |member: &Member| [member.table, member.bound.unwrap_or(WHOLE)];
+        let tables: BTreeSet<TableId> = self.members.values().flat_map(used).collect();
         let gates = tables.into_iter().flat_map(|table| self.gates.iter().map(move |gate| (table, *gate)));
         let differs = |(table, gate): &(TableId, Gate)| {
             due && self.gates_told.get(&(*table, gate.operation)) != Some(gate) && take(*table, JOIN_ROOM)
         };
         let gates: Vec<(TableId, Gate)> = gates.filter(differs).collect();
+        let sent = changes.iter().filter(|change| change.rank == 0).count();
         if changes.is_empty() && gates.is_empty() {
-            return;
-        }
-        if due {
-            self.flushed = now;
+            return sent == urgent;
         }
+        self.flushed = if due { now } else { self.flushed };
         for &Change { table, server, weight, .. } in &changes {
             post.orders.push(match table {
                 SHUNNED => Order::Suspend { server, on: weight > 0.0 },
@@ -811,10 +811,11 @@
             let reached = readers.iter().filter(|(table, _)| touched.contains(table)).map(|(_, count)| count);
             self.pacing.book(cost, reached.sum::<f64>().min(self.members.len() as f64) as usize, post);
         }
+        sent == urgent
     }
 
     /// Whole tables for those that joined, as many as the channel has room for, the busiest proxies first.
-    fn joins(&mut self, post: &mut Post) {
+    fn joins(&mut self, part: f64, post: &mut Post) {
         let mut lines: BTreeMap<TableId, f64> = BTreeMap::new();
         for ((table, _), _) in self.told.iter().filter(|(_, &weight)| weight > 0.0) {
             *lines.entry(*table).or_default() += 1.0;
@@ -823,13 +824,12 @@
             self.members.iter_mut().map(|(&proxy, m)| (proxy, m)).collect();
         waiting.retain(|(_, member)| member.bound != Some(member.table) && lines.contains_key(&member.table));
         waiting.sort_by(|(_, a), (_, b)| a.bound.cmp(&b.bound).then(b.came.sum.total_cmp(&a.came.sum)));
-        let room = self.pacing.room * JOIN_ROOM - self.pacing.waiting(post.now);
-        let idle = self.pacing.waiting == 0.0;
+        let room = self.pacing.room * part - self.pacing.waiting(post.now);
         let (mut cost, mut count) = (0.0, 0);
         for (proxy, member) in waiting {
             let table = member.table;
             let more = self.pacing.overhead + 2.0 + lines[&table] + self.gates.len() as f64;
-            if cost + more > room && !(idle && count == 0) {
+            if cost + more > room && !(self.pacing.waiting == 0.0 && count == 0) {
                 break;
             }
             post.orders.push(Order::Install { proxy, table, operations: 0 });
@@ -897,7 +897,6 @@
                 proxies: facts.proxies.into(),
                 pacing: Pacing {
                     lines_per_ns: facts.lines_per_s / SECOND as f64,
-                    nominal: facts.lines_per_s / SECOND as f64,
                     room: facts.backlog,
                     overhead: facts.message_overhead,
                     transit: facts.mean_transit,
@@ -947,7 +946,7 @@
                 self.post.put(Part::Channel, Note::Came(proxy, total));
                 (Part::Fleet, Note::Intake { operation: operation.into(), total, lost })
             }
-            Event::Confirmed { serial, took, .. } => (Part::Channel, Note::Confirmed { serial, took }),
+            Event::Confirmed { serial, .. } => (Part::Channel, Note::Confirmed(serial)),
             Event::Fired { ctx: BEAT } => {
                 return self.post.orders.push(Order::Remind { span: self.beat, ctx: BEAT });
             }
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -230,7 +230,7 @@
 ) {
     let mut server = Server::new(row(1), START);
     server.fault = Some(fault);
-    server.held(true, START, &mut Post::default());
+    server.take(Note::Held(true), &judging(), &mut Post { now: START, ..Post::default() });
     server.hear(&digest(1, 4, 1), START + after, &mut Post::default());
     let standing = server.weigh(Picture::default(), &judging(), START + after);
     assert_eq!(standing.out, still_out);
@@ -488,13 +488,52 @@
 }
 
 #[rstest]
-fn late_confirmations_slow_the_account(facts: StartupFacts) {
+#[case::answered(4.0, 1, 0.0)]
+#[case::three_of_four_are_out(1.0, 1, 700.0)]
+#[case::taken_for_lost(1.0, 5, 0.0)]
+fn what_is_not_answered_still_waits(
+    facts: StartupFacts,
+    #[case] answers: f64,
+    #[case] after: u64,
+    #[case] waiting: f64,
+) {
     let mut pacing = Brain::new(&facts).channel.pacing;
-    pacing.fenced.insert(1, Fence { before: 900.0, lines: 100.0, messages: 1, answers: 0 });
-    pacing.confirmed(1, facts.mean_transit + 2 * SECOND);
-    pacing.waiting = 100.0;
-    pacing.at = START;
-    assert_eq!(pacing.waiting(START + SECOND / 10), 50.0);
+    pacing.fenced.insert(1, Fence { at: START, lines: 1_200.0, messages: 4.0, answers });
+    assert!((pacing.waiting(START + after * SECOND) - waiting).abs() < 1e-6);
+}
+
+#[rstest]
+fn what_a_proxy_that_left_did_not_answer_waits_no_more(facts: StartupFacts) {
+    let mut channel = running(&facts).channel;
+    channel.pacing.fenced.insert(9, Fence { at: START, lines: 900.0, messages: 1.0, answers: 0.0 });
+    channel.take(Note::Left(1), &mut Post { now: START, ..Post::default() });
+    assert!(channel.pacing.waiting(START + SECOND) < 1.0);
+}
+
+#[rstest]
+fn joins_leave_room_while_a_rule_is_owed_lines(facts: StartupFacts) {
+    let mut brain = large(facts, 400, 40);
+    brain.channel.members.values_mut().take(20).for_each(|member| member.bound = Some(WHOLE));
+    brain.channel.members.values_mut().skip(20).for_each(|member| member.bound = None);
+    (brain.channel.pacing.waiting, brain.channel.pacing.at) =
+        (brain.channel.pacing.room / 2.0, START + SECOND);
+    let drained = (1..=200).map(|id| RosterRow { readiness: Readiness::Draining, ..row(id) });
+    let news = vec![Event::Roster(RosterNews::Delta(drained.collect()))];
+    let orders = answered(&mut brain, START + SECOND, news);
+    assert!(matches!(orders[0], Order::Suspend { on: true, .. }), "{:?}", orders[0]);
+    assert!(!orders.iter().any(|order| matches!(order, Order::Install { .. })));
+}
+
+#[rstest]
+fn a_told_drain_binds_after_the_server_is_gone() {
+    let judging = Judging { gone_does_not_bind: true, ..judging() };
+    let mut server = Server::new(row(1), START);
+    server.hear(&digest(1, 9, 0), START, &mut Post::default());
+    for readiness in [Readiness::Draining, Readiness::Gone] {
+        server.take(Note::Listed(RosterRow { readiness, ..row(1) }), &judging, &mut Post::default());
+    }
+    let standing = server.weigh(Picture::default(), &judging, START);
+    assert!(standing.binds && !standing.ready());
 }
 
 /// An instance at full size: so many servers and proxies of a channel that takes a dozen whole tables.
@@ -506,6 +545,12 @@
     brain
 }
 
+/// Decides, and has all that was ordered answered.
+fn answered(brain: &mut Brain, now: Nanos, events: Vec<Event>) -> Vec<Order> {
+    brain.channel.pacing.fenced.clear();
+    brain.decide(now, events)
+}
+
 /// Lines that orders put into the channel, counted as the wire tells, for a table that all members use.
 fn lines(orders: &[Order], servers: usize, members: usize) -> usize {
     let installs = orders.iter().filter(|order| matches!(order, Order::Install { .. })).count();
@@ -525,10 +570,10 @@
     brain.channel.members.values_mut().for_each(|member| member.bound = Some(WHOLE));
     let rows = (1..=200).map(|id| RosterRow { readiness, ready_at, ..row(id) });
     let mut news = vec![Event::Roster(RosterNews::Delta(rows.collect()))];
-    let (mut waiting, mut told) = (400.0 * 9.0, 0);
+    let (mut waiting, mut told) = (400.0 * 12.0 * JOIN_ROOM, 0);
     for tenth in 1..200 {
         waiting = f64::max(waiting - 320.0, 0.0);
-        let orders = brain.decide(START + tenth * SECOND / 10, std::mem::take(&mut news));
+        let orders = answered(&mut brain, START + tenth * SECOND / 10, std::mem::take(&mut news));
         waiting += lines(&orders, 400, 100) as f64;
         assert!(waiting <= 4_800.0, "{waiting}");
         told += orders.iter().filter(|order| matches!(order, Order::Line { .. })).count();
@@ -540,6 +585,7 @@
 fn apart(facts: StartupFacts) -> Channel {
     let mut channel = large(StartupFacts { proxies: 40, ..facts }, 120, 20).channel;
     let mut post = Post { now: START + SECOND, ..Post::default() };
+    channel.pacing.fenced.clear();
     for note in [Note::Apart(true), Note::Flush] {
         channel.take(note, &mut post);
     }
@@ -587,11 +633,32 @@
     assert_eq!(others(&channel.parts), others(&before));
 }
 
+#[rstest]
+#[case::ours(1_000, 1)]
+#[case::the_other_supervisors(1_001, 0)]
+fn a_server_first_listed_while_apart_goes_to_one_small_table(
+    mut facts: StartupFacts,
+    #[case] server: ServerId,
+    #[case] tables: usize,
+) {
+    facts.supervisors = 2;
+    let mut channel = apart(facts);
+    let post = &mut Post { now: START + 2 * SECOND, ..Post::default() };
+    let cold = Want { weight: 0.2, urgent: true, binds: false };
+    for note in [Note::Want(server, cold), Note::Apart(true), Note::Flush] {
+        channel.take(note, post);
+    }
+    let small = |(&(table, id), weight): (&(TableId, ServerId), &f64)| {
+        table != WHOLE && id == server && *weight <= cold.weight * SMALL_COLD
+    };
+    assert_eq!(channel.told.iter().filter(|line| small(*line)).count(), tables);
+}
+
 #[rstest]
 fn small_tables_stand_until_the_last_proxy_has_left_them(facts: StartupFacts) {
     let mut channel = apart(facts);
     let post = &mut Post { now: START + 40 * SECOND, ..Post::default() };
-    (channel.pacing.waiting, channel.pacing.at) = (channel.pacing.room / 2.0, post.now);
+    (channel.pacing.waiting, channel.pacing.at) = (channel.pacing.room / 2.5, post.now);
     for note in [Note::Apart(false), Note::Flush] {
         channel.take(note, post);
     }
@@ -607,7 +674,7 @@
     let mut installed = brain.channel.members.values().filter(|member| member.bound.is_some()).count();
     assert!((1..12).contains(&installed), "{installed}");
     for tenth in 1..150 {
-        let orders = brain.decide(START + tenth * SECOND / 10, vec![]);
+        let orders = answered(&mut brain, START + tenth * SECOND / 10, vec![]);
         installed += orders.iter().filter(|order| matches!(order, Order::Install { .. })).count();
     }
     assert_eq!(installed, 100);
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -64,10 +64,7 @@
     Joined(ProxyId, f64),
     Came(ProxyId, f64),
     Left(ProxyId),
-    Confirmed {
-        serial: u64,
-        took: Nanos,
-    },
+    Confirmed(u64),
     Flush,
 }
 
@@ -167,13 +164,13 @@
     pub(crate) bound: Option<TableId>,
 }
 
-/// Marked messages: the lines that waited before them, their own, how many they are and how many answered.
+/// Marked messages: when they were ordered, their lines, how many they are and how many were answered.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Fence {
-    pub(crate) before: f64,
+    pub(crate) at: Nanos,
     pub(crate) lines: f64,
-    pub(crate) messages: usize,
-    pub(crate) answers: usize,
+    pub(crate) messages: f64,
+    pub(crate) answers: f64,
 }
 
 /// Figures by which a server judges itself.
--- a/src/state.rs
+++ b/src/state.rs
@@ -81,7 +81,6 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pacing {
     pub(crate) lines_per_ns: f64,
-    pub(crate) nominal: f64,
     pub(crate) room: f64,
     pub(crate) overhead: f64,
     pub(crate) transit: Nanos,
@@ -104,6 +103,8 @@
     /// While proxies are kept apart: the lines of their small tables, and the weight that each should have.
     pub(crate) parts: BTreeSet<(TableId, ServerId)>,
     pub(crate) sizes: BTreeMap<TableId, f64>,
+    /// Servers that were known when they were dealt.
+    pub(crate) dealt: BTreeSet<ServerId>,
     pub(crate) told: BTreeMap<(TableId, ServerId), f64>,
     pub(crate) gates: Vec<Gate>,
     pub(crate) gates_told: BTreeMap<(TableId, usize), Gate>,
