Know a squeeze sooner: a server that loses a tenth counts

A server that loses a tenth counts now; in turn answers must take under 1.5 times that part of what is late, 2 before, or jams would pass.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -89,7 +89,7 @@
 /// Where connections are hard to get: from so many of the servers losing tries, while answers take at most this
 /// multiple of that part of what is late; so many proxies share so many servers at least; for so long at first.
 const WIDE: f64 = 0.4;
-const QUICK: f64 = 2.0;
+const QUICK: f64 = 1.5;
 const GROUP_PROXIES: usize = 2;
 const GROUP_SERVERS: usize = 6;
 const LEAST_CHOICE: f64 = 3.0;
@@ -466,7 +466,7 @@
             return post.put(Part::Channel, Note::Apart(true));
         }
         let ready = || self.standings.values().filter(|s| s.ready());
-        let losing = ready().filter(|s| s.error > FURTHER_CUT).count() as f64;
+        let losing = ready().filter(|s| s.error > FURTHER_BACK).count() as f64;
         let [.., served, time] = self.recent.each_mut().map(|sum| sum.read(post.now, self.cycle));
         let wide = losing / (ready().count() as f64).max(1.0);
         let slow = time / (served + CREDIT) / self.patience;
