--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,7 +25,7 @@
 const CRITICAL_TIME: f64 = 3.0;
 /// Past an edge for this long before a band changes.
 const DWELL: Nanos = 3 * SECOND;
-/// A withdrawn server stays out this long the first time (the page starts from 10 s; a try at a tenth is cheap).
+/// A withdrawn server stays out this long the first time (the page: 10 s; a try at a tenth is cheap).
 const FIRST_TERM: Nanos = 5 * SECOND;
 /// Part of its weight with which a server returns.
 const RETURN_LEVEL: f64 = 0.1;
@@ -86,8 +86,8 @@
 /// shun, whatever they hold, is kept like one more table.
 const WHOLE: TableId = 0;
 const SHUNNED: TableId = TableId::MAX;
-/// Where connections are hard to get: from so many of the servers losing tries, while answers take at most this
-/// multiple of that part of what is late; so many proxies share so many servers at least; for so long at first.
+/// Where connections are hard to get: so many of the servers lose tries, and answers take at most this
+/// multiple of that part of what is late; so many proxies share so many servers; for so long at first.
 const WIDE: f64 = 0.4;
 const QUICK: f64 = 1.5;
 const GROUP_PROXIES: usize = 2;
@@ -103,7 +103,7 @@
     fn take(&mut self, note: Note, post: &mut Post) {
         match note {
             Note::Roster(RosterNews::Failed) => {
-                // Guards against a crowd of calls at a list service that is late, within the time told for it.
+                // Guards against a crowd of calls at a list service that is late, in the time told for it.
                 let wait = (self.patience >> 4 << self.failures.min(4)) as f64;
                 self.failures += 1;
                 let span = (wait * (0.5 + 0.5 * self.chance.rand_float())) as Nanos;
@@ -427,10 +427,10 @@
     /// Weights of the servers that stay in. A fault that may not be withdrawn keeps the least weight.
     ///
     /// Guards cold servers against the work that others' withdrawals, damping or death send their way: a cold
-    /// one's share never exceeds what it would be if all ready servers were in at full weight, less the part by
-    /// which lost tries come again. When so many are lost, or would be on the few warm ones left, that proxies
-    /// avoid these by themselves, the cold wait outside, as long as a warm one is in; sooner where what is known
-    /// may be old. It costs capacity whenever losses have another cause.
+    /// one's share never exceeds what it would be if all ready servers were in at full weight, less the part
+    /// by which lost tries come again. When so many are lost, or would be on the few warm ones left, that
+    /// proxies avoid these by themselves, the cold wait outside, while a warm one is in; sooner where what
+    /// is known may be old. It costs capacity whenever losses have another cause.
     fn weights(&mut self, out: &BTreeSet<ServerId>, kept: f64, now: Nanos) {
         let ready = self.standings.values().filter(|s| s.ready());
         let known = ready.map(|s| s.listed).sum::<f64>() / kept;
@@ -457,8 +457,8 @@
         self.told.extend(cold.iter().map(|s| (s.row.server, capped(s))));
     }
 
-    /// Guards against connections that are hard to get, whatever the cause: servers that accept few, or take long
-    /// to set them up. Tries then fail at most servers though answers are not late; a table of all servers makes
+    /// Guards against connections that are hard to get, whatever the cause: servers accept few, or take long
+    /// to set them up. Tries then fail at most servers though answers are not late; a table of all makes
     /// nearly each try at a large fleet a new connection. For a term, few proxies share few servers. It could
     /// harm in a failure of another kind that hits most servers at once, by uneven load.
     fn keep_apart(&mut self, lost_share: f64, post: &mut Post) {
@@ -481,8 +481,8 @@
         post.put(Part::Channel, Note::Apart(self.apart_until > 0));
     }
 
-    /// Further tries only after proof that the first never ran, which is safe for every operation. When failures
-    /// are general even those only feed the load, and bring cold servers what the warm turned away.
+    /// Further tries only after proof that the first never ran, safe for every operation. When failures are
+    /// general even those only feed the load, and bring cold servers what the warm turned away.
     fn set_gates(&mut self, share: f64, post: &mut Post) {
         let before = self.general;
         self.general = share > if before { FURTHER_BACK } else { FURTHER_CUT };
@@ -497,7 +497,7 @@
         post.put(Part::Channel, Note::Gates(self.gates.clone()));
     }
 
-    /// Where levels are heeded: once answers come late, lets in what the ready servers have shown to bear, kept
+    /// Where levels are heeded: once answers come late, lets in what ready servers have shown to bear, kept
     /// for each unit of ready weight, the highest billed value for its objective first, and feels its way up.
     /// Guards against any lack of capacity, since late answers are worth next to nothing and cost as much. It
     /// could harm where answers are slow for reasons that less work does not mend.
@@ -639,7 +639,7 @@
         sound.map(|(&server, want)| (server, want.weight)).collect()
     }
 
-    /// Deals sound servers to small groups of proxies, each a table of its own, by the traffic that each brings;
+    /// Deals sound servers to small groups of proxies, each with a table, by the traffic that each brings;
     /// or brings all back to the whole table. Our window of the servers, all in one order, goes by our number
     /// and our part of the proxies, so supervisors need not agree.
     fn split(&mut self, apart: bool) {
@@ -680,8 +680,8 @@
         }
     }
 
-    /// A small table that has lost half of its weight gets more of the sound servers; the others stay as dealt.
-    /// A server first listed since goes, cold or not, to one table of the supervisor that its number falls to.
+    /// A small table that has lost half of its weight gets more of the sound servers; others stay as dealt.
+    /// A server first listed since goes, cold or not, to a table of the supervisor its number falls to.
     fn refill(&mut self) {
         let sound = self.sound();
         let ours = |server: ServerId| f64::from(server) % self.supervisors.max(1.0) == self.supervisor;
@@ -703,7 +703,7 @@
         }
     }
 
-    /// What a table should say of a server. A small table may have lost half of its weight: a cold one gets half.
+    /// What a table should say of a server. A small one may have lost half of its weight: the cold get half.
     fn wanted(&self, table: TableId, server: ServerId) -> f64 {
         let want = self.wants.get(&server).copied().unwrap_or_default();
         match table {
@@ -743,8 +743,8 @@
     /// Changed lines, as many as the channel takes: what is left out stays owed and goes later.
     ///
     /// Guards the channel's limit against anything that changes many lines at once, a mass restart, a wrong
-    /// list or noise. Drained or gone servers must be left, and cold ones kept from a full share, whatever else
-    /// waits. It could harm where much changes for good reasons: then the table lags behind by seconds.
+    /// list or noise. Drained or gone servers must be left, and cold ones kept from a full share, whatever
+    /// else waits. It could harm where much changes for good reasons: then the table lags behind by seconds.
     fn changes(&mut self, post: &mut Post) -> bool {
         let now = post.now;
         let mut readers = BTreeMap::new();
