Add an epoll reactor and gRPC over h2 polled from it

Need: the running supervisor listens and dials on loopback without a runtime. crates/reactor gives edge-triggered readiness, timers and sockets on rustix; crates/rpc drives h2 connections from that loop, client and server, with bounds on messages, calls and what a peer leaves unread. Seen: hand-assembled HTTP/2 frames are read and answered; nonsense, oversized frames, a malformed SETTINGS and 2,000 resets each cost their own connection alone.

--- /dev/null
+++ b/crates/rpc/src/hub.rs
@@ -0,0 +1,312 @@
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io::{self, Read};
+use std::net::SocketAddr;
+use std::os::fd::AsFd;
+use std::os::unix::net::UnixStream;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use shalereel_reactor::{dial, now, stop_signals, Listener, Nanos, Reactor, Socket, TimerId, Timers, Token};
+
+use crate::conn::{Bounds, Came, Conn, StreamId};
+use crate::Status;
+
+/// One connection of this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(Token);
+
+/// What one turn of the loop brought. `L` names listeners, `K` timers.
+#[derive(Debug)]
+pub enum Input<L, K> {
+    Opened {
+        conn: ConnId,
+        at: L,
+    },
+    Call {
+        conn: ConnId,
+        stream: StreamId,
+        path: String,
+        timeout: Option<Nanos>,
+    },
+    Message {
+        conn: ConnId,
+        stream: StreamId,
+        message: Bytes,
+    },
+    HalfClosed {
+        conn: ConnId,
+        stream: StreamId,
+    },
+    Ended {
+        conn: ConnId,
+        stream: StreamId,
+        status: Status,
+    },
+    Closed {
+        conn: ConnId,
+        why: String,
+    },
+    Due(K),
+    /// One line of standard input, without its end.
+    Line(String),
+    /// Standard input is over.
+    NoMoreLines,
+    Stop,
+}
+
+struct Held {
+    conn: Conn,
+    handle: Socket,
+    paused: bool,
+}
+
+/// All sockets and timers of a process, and the one loop that waits on them.
+pub struct Hub<L, K> {
+    reactor: Reactor,
+    timers: Timers<K>,
+    listeners: BTreeMap<Token, (Listener, L, bool)>,
+    conns: BTreeMap<ConnId, Held>,
+    /// To be polled before the next wait: something was put into them.
+    touched: BTreeSet<ConnId>,
+    ready: VecDeque<Input<L, K>>,
+    signals: Option<(Token, UnixStream)>,
+    lines: Option<(Token, io::Stdin, Vec<u8>)>,
+    bounds: Bounds,
+}
+
+/// A peer whose kernel acknowledges nothing for so long is gone.
+const HALF_OPEN: Duration = Duration::from_secs(20);
+
+impl<L: Clone, K> Hub<L, K> {
+    /// Errors: what `epoll` gives.
+    pub fn new(bounds: Bounds) -> io::Result<Self> {
+        Ok(Hub {
+            reactor: Reactor::new()?,
+            timers: Timers::default(),
+            listeners: BTreeMap::new(),
+            conns: BTreeMap::new(),
+            touched: BTreeSet::new(),
+            ready: VecDeque::new(),
+            signals: None,
+            lines: None,
+            bounds,
+        })
+    }
+
+    /// SIGTERM and SIGINT come as [`Input::Stop`].
+    pub fn stop_on_signals(&mut self) -> io::Result<()> {
+        let signals = stop_signals()?;
+        self.signals = Some((self.reactor.add(&signals)?, signals));
+        Ok(())
+    }
+
+    /// Standard input comes as lines.
+    pub fn read_lines(&mut self) -> io::Result<()> {
+        let input = io::stdin();
+        let flags = rustix::fs::fcntl_getfl(&input)?;
+        rustix::fs::fcntl_setfl(&input, flags | rustix::fs::OFlags::NONBLOCK)?;
+        self.lines = Some((self.reactor.add(&input)?, input, Vec::new()));
+        Ok(())
+    }
+
+    /// Serves an address on loopback; gives the one that it has, port included.
+    pub fn listen(&mut self, address: SocketAddr, name: L) -> io::Result<(Token, SocketAddr)> {
+        let listener = Listener::bind(address)?;
+        let (token, address) = (self.reactor.add(&listener)?, listener.address()?);
+        self.listeners.insert(token, (listener, name, false));
+        Ok((token, address))
+    }
+
+    /// Serves it no more; connections made stay.
+    pub fn unlisten(&mut self, listener: Token) {
+        self.listeners.remove(&listener);
+    }
+
+    /// While paused, nobody is accepted: the kernel keeps them waiting.
+    pub fn pause_listener(&mut self, listener: Token, paused: bool) {
+        if let Some(held) = self.listeners.get_mut(&listener) {
+            held.2 = paused;
+            if !paused {
+                self.accept(listener);
+            }
+        }
+    }
+
+    /// Starts a connection. Errors: no descriptor, or not loopback; a refusal comes as [`Input::Closed`].
+    pub fn dial(&mut self, address: SocketAddr) -> io::Result<ConnId> {
+        let socket = dial(address)?;
+        self.hold(socket, Conn::client)
+    }
+
+    fn hold(&mut self, socket: Socket, make: fn(Socket, Bounds) -> Conn) -> io::Result<ConnId> {
+        socket.give_up_after(HALF_OPEN)?;
+        let id = ConnId(self.reactor.add(&socket)?);
+        let handle = socket.handle()?;
+        self.conns.insert(id, Held { conn: make(socket, self.bounds), handle, paused: false });
+        self.touched.insert(id);
+        Ok(id)
+    }
+
+    fn touch(&mut self, conn: ConnId) -> Option<&mut Conn> {
+        let held = self.conns.get_mut(&conn)?;
+        self.touched.insert(conn);
+        Some(&mut held.conn)
+    }
+
+    /// See [`Conn::call`]; nothing where the connection is gone.
+    pub fn call(&mut self, conn: ConnId, path: &str, timeout: Option<Nanos>) -> Option<StreamId> {
+        self.touch(conn).map(|conn| conn.call(path, timeout))
+    }
+
+    pub fn send(&mut self, conn: ConnId, stream: StreamId, message: &[u8]) {
+        if let Some(conn) = self.touch(conn) {
+            conn.send(stream, message);
+        }
+    }
+
+    pub fn finish(&mut self, conn: ConnId, stream: StreamId, status: Status) {
+        if let Some(conn) = self.touch(conn) {
+            conn.finish(stream, status);
+        }
+    }
+
+    pub fn cancel(&mut self, conn: ConnId, stream: StreamId) {
+        if let Some(conn) = self.touch(conn) {
+            conn.cancel(stream);
+        }
+    }
+
+    pub fn unread(&self, conn: ConnId, stream: StreamId) -> usize {
+        self.conns.get(&conn).map_or(0, |held| held.conn.unread(stream))
+    }
+
+    /// Closes at once, with a reset where `abrupt`; no [`Input::Closed`] follows.
+    pub fn close(&mut self, conn: ConnId, abrupt: bool) {
+        if let Some(held) = self.conns.remove(&conn) {
+            if abrupt {
+                let _ = held.handle.reset_at_close();
+            } else {
+                let _ = held.handle.shut();
+            }
+        }
+    }
+
+    /// While paused, nothing is read from it nor written to it.
+    pub fn pause(&mut self, conn: ConnId, paused: bool) {
+        if let Some(held) = self.conns.get_mut(&conn) {
+            held.paused = paused;
+            self.touched.insert(conn);
+        }
+    }
+
+    pub fn set(&mut self, at: Nanos, key: K) -> TimerId {
+        self.timers.set(at, key)
+    }
+
+    pub fn unset(&mut self, timer: TimerId) {
+        self.timers.cancel(timer);
+    }
+
+    /// Waits for the next turn and gives all that it brought, at least one thing unless `until` came first.
+    pub fn wait(&mut self, until: Option<Nanos>) -> io::Result<Vec<Input<L, K>>> {
+        loop {
+            for conn in std::mem::take(&mut self.touched) {
+                self.poll(conn);
+            }
+            let time = now();
+            while let Some(key) = self.timers.due(time) {
+                self.ready.push_back(Input::Due(key));
+            }
+            let idle = self.ready.is_empty();
+            let next = self.timers.next().into_iter().chain(until).min();
+            for token in self.reactor.wait(if idle { next } else { Some(0) })? {
+                self.woken(token)?;
+            }
+            if !self.ready.is_empty() || until.is_some_and(|until| now() >= until) {
+                return Ok(self.ready.drain(..).collect());
+            }
+        }
+    }
+
+    fn woken(&mut self, token: Token) -> io::Result<()> {
+        if self.conns.contains_key(&ConnId(token)) {
+            self.poll(ConnId(token));
+        } else if self.listeners.contains_key(&token) {
+            self.accept(token);
+        } else if let Some((signal, stream)) = &mut self.signals {
+            if *signal == token && stream.read(&mut [0; 8]).is_ok_and(|count| count > 0) {
+                self.ready.push_back(Input::Stop);
+            }
+        }
+        self.take_lines(token);
+        Ok(())
+    }
+
+    fn take_lines(&mut self, token: Token) {
+        let Some((lines, input, held)) = &mut self.lines else { return };
+        if *lines != token {
+            return;
+        }
+        let mut piece = [0; 65536];
+        let mut over = false;
+        loop {
+            match rustix::io::read(input.as_fd(), &mut piece) {
+                Ok(0) => over = true,
+                Ok(count) => {
+                    held.extend_from_slice(&piece[..count]);
+                    continue;
+                }
+                Err(_) => {}
+            }
+            break;
+        }
+        while let Some(end) = held.iter().position(|&byte| byte == b'\n') {
+            let line: Vec<u8> = held.drain(..=end).collect();
+            self.ready.push_back(Input::Line(String::from_utf8_lossy(&line[..end]).into_owned()));
+        }
+        if over {
+            self.lines = None;
+            self.ready.push_back(Input::NoMoreLines);
+        }
+    }
+
+    fn accept(&mut self, token: Token) {
+        while let Some((listener, name, false)) = self.listeners.get(&token) {
+            let name = name.clone();
+            match listener.accept() {
+                Ok(Some(socket)) => {
+                    if let Ok(conn) = self.hold(socket, Conn::server) {
+                        self.ready.push_back(Input::Opened { conn, at: name });
+                    }
+                }
+                Ok(None) => return,
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(error) => {
+                    // Out of descriptors: the rest waits in the kernel until the next one comes.
+                    return tracing::warn!(%error, "a connection could not be accepted");
+                }
+            }
+        }
+    }
+
+    fn poll(&mut self, id: ConnId) {
+        let Some(held) = self.conns.get_mut(&id) else { return };
+        if held.paused {
+            return;
+        }
+        let waker = self.reactor.waker(id.0);
+        let mut came = Vec::new();
+        let over = held.conn.poll(&mut Context::from_waker(&waker), &mut came);
+        self.ready.extend(came.into_iter().map(|came| match came {
+            Came::Call { stream, path, timeout } => Input::Call { conn: id, stream, path, timeout },
+            Came::Message { stream, message } => Input::Message { conn: id, stream, message },
+            Came::HalfClosed { stream } => Input::HalfClosed { conn: id, stream },
+            Came::Ended { stream, status } => Input::Ended { conn: id, stream, status },
+        }));
+        if let Poll::Ready(why) = over {
+            self.conns.remove(&id);
+            self.ready.push_back(Input::Closed { conn: id, why });
+        }
+    }
+}
--- /dev/null
+++ b/crates/rpc/tests/wire.rs
@@ -0,0 +1,185 @@
+//! Bytes on a real socket: hand-assembled frames against our server, floods, and our client against our server.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use shalereel_reactor::{now, SECOND};
+use shalereel_rpc::{Bounds, Code, Hub, Input, Status};
+
+const BOUNDS: Bounds = Bounds { message: 1024, calls: 8, unread: 4096 };
+type Inputs = Vec<Input<(), ()>>;
+
+fn hub() -> (Hub<(), ()>, std::net::SocketAddr) {
+    let mut hub = Hub::new(BOUNDS).unwrap();
+    let (_, address) = hub.listen("127.0.0.1:0".parse().unwrap(), ()).unwrap();
+    (hub, address)
+}
+
+/// Turns the hub until `done` is satisfied by something that came; 10 s at most.
+fn until<T>(hub: &mut Hub<(), ()>, mut done: impl FnMut(&mut Hub<(), ()>, &Input<(), ()>) -> Option<T>) -> T {
+    let end = now() + 10 * SECOND;
+    while now() < end {
+        let inputs: Inputs = hub.wait(Some(now() + SECOND / 100)).unwrap();
+        for input in &inputs {
+            if let Some(found) = done(hub, input) {
+                return found;
+            }
+        }
+    }
+    panic!("not within 10 s");
+}
+
+/// An HTTP/2 frame: 24-bit length, type, flags, 31-bit stream (RFC 9113, section 4.1).
+fn h2(kind: u8, flags: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let mut out = (payload.len() as u32).to_be_bytes()[1..].to_vec();
+    out.extend([kind, flags]);
+    out.extend(stream.to_be_bytes());
+    out.extend(payload);
+    out
+}
+
+/// A header as a literal without indexing, names and values in plain letters (RFC 7541, section 6.2.2).
+fn literal(name: &str, value: &str) -> Vec<u8> {
+    let mut out = vec![0, name.len() as u8];
+    out.extend(name.as_bytes());
+    out.push(value.len() as u8);
+    out.extend(value.as_bytes());
+    out
+}
+
+fn greeting() -> Vec<u8> {
+    [b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec(), h2(4, 0, 0, &[])].concat()
+}
+
+fn ask(stream: u32) -> Vec<u8> {
+    let headers = [
+        literal(":method", "POST"),
+        literal(":scheme", "http"),
+        literal(":path", "/some.Service/Call"),
+        literal(":authority", "x"),
+        literal("content-type", "application/grpc"),
+        literal("te", "trailers"),
+        literal("grpc-timeout", "250m"),
+    ];
+    h2(1, 4, stream, &headers.concat())
+}
+
+#[test]
+fn hand_assembled_frames_are_read_and_answered() {
+    let (mut hub, address) = hub();
+    let mut peer = TcpStream::connect(address).unwrap();
+    peer.set_nonblocking(true).unwrap();
+    let data = h2(0, 1, 1, &[0, 0, 0, 0, 2, b'h', b'i']);
+    peer.write_all(&[greeting(), ask(1), data].concat()).unwrap();
+    let (conn, stream) = until(&mut hub, |_, input| match input {
+        Input::Call { conn, stream, path, timeout } => {
+            assert_eq!((path.as_str(), *timeout), ("/some.Service/Call", Some(SECOND / 4)));
+            Some((*conn, *stream))
+        }
+        _ => None,
+    });
+    hub.send(conn, stream, b"yes");
+    hub.finish(conn, stream, Status::OK);
+    let mut got = Vec::new();
+    let end = now() + 10 * SECOND;
+    let wanted = h2(0, 0, 1, &[0, 0, 0, 0, 3, b'y', b'e', b's']);
+    // The status travels in a block of headers that ends the stream.
+    let trailers = |got: &[u8]| got.windows(9).any(|head| head[3] == 1 && head[4] == 5 && head[8] == 1);
+    while !(got.windows(wanted.len()).any(|part| part == wanted) && trailers(&got)) && now() < end {
+        hub.wait(Some(now() + SECOND / 100)).unwrap();
+        let _ = peer.read_to_end(&mut got);
+    }
+    assert!(got.windows(wanted.len()).any(|part| part == wanted), "the message, framed, is on the wire");
+    assert!(trailers(&got));
+}
+
+#[test]
+fn nonsense_and_floods_cost_their_own_connection_only() {
+    let (mut hub, address) = hub();
+    let sound = hub.dial(address).unwrap();
+    let call = hub.call(sound, "/a/b", None).unwrap();
+    let (conn, stream) = until(&mut hub, |_, input| match input {
+        Input::Call { conn, stream, .. } => Some((*conn, *stream)),
+        _ => None,
+    });
+    let resets: Vec<u8> = (0..2000)
+        .flat_map(|at| [ask(2 * at + 1), h2(3, 0, 2 * at + 1, &8_u32.to_be_bytes())].concat())
+        .collect();
+    let oversized = [greeting(), vec![0xff; 9], vec![0; 70000]].concat();
+    let bad: [Vec<u8>; 4] = [
+        b"GET / HTTP/1.1\r\n\r\n".to_vec(),
+        oversized,
+        [greeting(), resets].concat(),
+        [greeting(), h2(4, 0, 0, &[0; 5])].concat(),
+    ];
+    for bytes in bad {
+        let mut peer = TcpStream::connect(address).unwrap();
+        peer.set_write_timeout(Some(Duration::from_secs(1))).unwrap();
+        let _ = peer.write_all(&bytes);
+        until(&mut hub, |_, input| match input {
+            Input::Closed { conn: closed, .. } => {
+                assert!(*closed != conn && *closed != sound);
+                Some(())
+            }
+            _ => None,
+        });
+    }
+    hub.send(conn, stream, b"still here");
+    until(&mut hub, |_, input| match input {
+        Input::Message { stream, message, .. } if *stream == call => {
+            Some(assert_eq!(&message[..], b"still here"))
+        }
+        _ => None,
+    });
+}
+
+#[test]
+fn a_message_over_the_limit_ends_its_call_with_a_status() {
+    let (mut hub, address) = hub();
+    let conn = hub.dial(address).unwrap();
+    let (large, small) =
+        (hub.call(conn, "/a/large", None).unwrap(), hub.call(conn, "/a/small", None).unwrap());
+    hub.send(conn, large, &[0; 2000]);
+    let mut sides = (None, false);
+    until(&mut hub, |hub, input| {
+        match input {
+            Input::Ended { conn: at, stream, status } if *at == conn && *stream == large => {
+                sides.0 = Some(status.code);
+            }
+            Input::Call { conn, stream, path, .. } if path == "/a/small" => {
+                hub.finish(*conn, *stream, Status::new(Code::NotFound, "nothing of the kind"));
+            }
+            Input::Ended { conn: at, stream, status } if *at == conn && *stream == small => {
+                sides.1 = status.code == Code::NotFound;
+            }
+            _ => {}
+        }
+        (sides == (Some(Code::ResourceExhausted), true)).then_some(())
+    });
+}
+
+#[test]
+fn a_peer_that_reads_nothing_is_bounded() {
+    let (mut hub, address) = hub();
+    let conn = hub.dial(address).unwrap();
+    let call = hub.call(conn, "/a/b", None).unwrap();
+    let (far, stream) = until(&mut hub, |_, input| match input {
+        Input::Call { conn, stream, .. } => Some((*conn, *stream)),
+        _ => None,
+    });
+    hub.pause(conn, true);
+    // More than the windows of HTTP/2 and the bound on what waits together.
+    (0..4000).for_each(|_| hub.send(far, stream, &[0; 1000]));
+    let status = until(&mut hub, |_, input| match input {
+        Input::Ended { conn, status, .. } if *conn == far => Some(status.clone()),
+        _ => None,
+    });
+    assert_eq!(status.code, Code::ResourceExhausted);
+    hub.pause(conn, false);
+    let status = until(&mut hub, |_, input| match input {
+        Input::Ended { conn: at, stream, status } if *at == conn && *stream == call => Some(status.clone()),
+        _ => None,
+    });
+    assert_ne!(status, Status::OK);
+}
