Add the messages and stream states of xDS v3 and load reporting

Need: the supervisor speaks gRPC load reports and assignments as Envoy's v3 API has them. crates/xds holds tables as ClusterLoadAssignment, the list's facts in endpoint metadata, routes with retry policies, LRS reports, and both sides of a discovery stream in both variants, all free of I/O. Types come from the published crate xds-api.

--- /dev/null
+++ b/crates/xds/src/assignment.rs
@@ -0,0 +1,225 @@
+use std::collections::{BTreeMap, HashMap};
+use std::net::{IpAddr, SocketAddr};
+
+use prost::Message;
+use shalereel::interface::Nanos;
+use shalereel_rpc::{Code, Status};
+use xds_api::pb::envoy::config::core::v3::{
+    address, socket_address, Address, HealthStatus, Locality, Metadata, SocketAddress,
+};
+use xds_api::pb::envoy::config::endpoint::v3::cluster_load_assignment::{policy::DropOverload, Policy};
+use xds_api::pb::envoy::config::endpoint::v3::lb_endpoint::HostIdentifier;
+use xds_api::pb::envoy::config::endpoint::v3::{
+    ClusterLoadAssignment, Endpoint, LbEndpoint, LocalityLbEndpoints,
+};
+use xds_api::pb::envoy::r#type::v3::{fractional_percent::DenominatorType, FractionalPercent};
+use xds_api::pb::google::protobuf::{value::Kind, Any, Struct, UInt32Value, Value};
+
+use crate::{decoded, types};
+
+/// Name of the resource that lists the endpoints nobody may send to, whatever tables say. The one resource
+/// that the specification does not know: a client that does not ask for it learns the same from its tables.
+pub const SHUNNED: &str = "shalereel.shunned";
+/// Metadata filter that carries [`ServerFacts`].
+const FACTS: &str = "shalereel.server";
+/// Category of the drops that carry a level.
+const LEVEL: &str = "level";
+/// A weight of 1 on the wire, where weights are whole numbers from 1 up.
+const UNIT: f64 = 10_000.0;
+const MILLION: f64 = 1e6;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Health {
+    Ready,
+    Draining,
+    Unhealthy,
+}
+
+/// What a registry says of a server beyond what the specification has fields for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServerFacts {
+    pub server: u32,
+    pub kind: u16,
+    pub cell: u16,
+    /// Another one at every start.
+    pub incarnation: u64,
+    /// Time since that start as of sending, whole milliseconds; nothing: long ago.
+    pub age: Option<Nanos>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Row {
+    pub address: SocketAddr,
+    /// `Locality.zone`.
+    pub zone: String,
+    pub health: Health,
+    /// Above 0; kept to 1/10,000 and never rounded to nothing.
+    pub weight: f64,
+    pub facts: Option<ServerFacts>,
+}
+
+/// One table as the specification has it (`envoy.config.endpoint.v3.ClusterLoadAssignment`).
+#[derive(Clone, Debug, PartialEq)]
+pub struct Assignment {
+    pub cluster: String,
+    pub rows: Vec<Row>,
+    /// Share of the invocations that is let in, 0 to 1; said as `drop_overloads`.
+    pub admitted: f64,
+}
+
+pub(crate) fn address_out(address: SocketAddr) -> Address {
+    Address {
+        address: Some(address::Address::SocketAddress(SocketAddress {
+            address: address.ip().to_string(),
+            port_specifier: Some(socket_address::PortSpecifier::PortValue(address.port().into())),
+            ..SocketAddress::default()
+        })),
+    }
+}
+
+pub(crate) fn address_in(address: Option<&Address>) -> Option<SocketAddr> {
+    let address::Address::SocketAddress(socket) = address?.address.as_ref()? else { return None };
+    let Some(socket_address::PortSpecifier::PortValue(port)) = socket.port_specifier else { return None };
+    Some(SocketAddr::new(socket.address.parse::<IpAddr>().ok()?, u16::try_from(port).ok()?))
+}
+
+impl ServerFacts {
+    fn encode(self) -> Metadata {
+        let number = |number: f64| Value { kind: Some(Kind::NumberValue(number)) };
+        let mut fields = HashMap::from([
+            ("server".to_owned(), number(self.server.into())),
+            ("kind".to_owned(), number(self.kind.into())),
+            ("cell".to_owned(), number(self.cell.into())),
+            // A double holds 53 bits; a text holds them all.
+            ("incarnation".to_owned(), Value { kind: Some(Kind::StringValue(self.incarnation.to_string())) }),
+        ]);
+        let age = self.age.map(|age| ("age_ms".to_owned(), number((age / 1_000_000) as f64)));
+        fields.extend(age);
+        let filter_metadata = HashMap::from([(FACTS.to_owned(), Struct { fields })]);
+        Metadata { filter_metadata, ..Metadata::default() }
+    }
+
+    fn decode(metadata: &Metadata) -> Option<Self> {
+        let fields = &metadata.filter_metadata.get(FACTS)?.fields;
+        let number = |name: &str| match fields.get(name)?.kind {
+            Some(Kind::NumberValue(number)) if number >= 0.0 => Some(number),
+            _ => None,
+        };
+        let incarnation = match fields.get("incarnation").and_then(|value| value.kind.as_ref()) {
+            Some(Kind::StringValue(text)) => text.parse().ok()?,
+            _ => 0,
+        };
+        Some(ServerFacts {
+            server: number("server")? as u32,
+            kind: number("kind").unwrap_or(0.0) as u16,
+            cell: number("cell").unwrap_or(0.0) as u16,
+            incarnation,
+            age: number("age_ms").map(|age| age as Nanos * 1_000_000),
+        })
+    }
+}
+
+impl Assignment {
+    pub fn encode(&self) -> Any {
+        let sum: f64 = self.rows.iter().map(|row| row.weight).sum();
+        // The specification bounds the sum of a priority's weights by 32 bits.
+        let unit = UNIT.min(f64::from(u32::MAX / 2) / sum.max(f64::MIN_POSITIVE));
+        let mut zones: BTreeMap<&str, Vec<&Row>> = BTreeMap::new();
+        for row in &self.rows {
+            zones.entry(&row.zone).or_default().push(row);
+        }
+        let endpoints = zones.into_iter().map(|(zone, rows)| {
+            let weights: Vec<u32> =
+                rows.iter().map(|row| ((row.weight * unit).round() as u32).max(1)).collect();
+            let lb_endpoints = rows.iter().zip(&weights).map(|(row, &weight)| LbEndpoint {
+                health_status: match row.health {
+                    Health::Ready => HealthStatus::Healthy,
+                    Health::Draining => HealthStatus::Draining,
+                    Health::Unhealthy => HealthStatus::Unhealthy,
+                } as i32,
+                metadata: row.facts.map(ServerFacts::encode),
+                load_balancing_weight: Some(UInt32Value { value: weight }),
+                host_identifier: Some(HostIdentifier::Endpoint(Endpoint {
+                    address: Some(address_out(row.address)),
+                    ..Endpoint::default()
+                })),
+            });
+            let ready = rows.iter().zip(&weights).filter(|(row, _)| row.health == Health::Ready);
+            // Clients that weigh localities first then pick as if there were none.
+            let value = ready.map(|(_, weight)| weight).sum::<u32>().max(1);
+            LocalityLbEndpoints {
+                locality: Some(Locality { zone: zone.to_owned(), ..Locality::default() }),
+                lb_endpoints: lb_endpoints.collect(),
+                load_balancing_weight: Some(UInt32Value { value }),
+                ..LocalityLbEndpoints::default()
+            }
+        });
+        let dropped = 1.0 - self.admitted.clamp(0.0, 1.0);
+        let drops = DropOverload {
+            category: LEVEL.into(),
+            drop_percentage: Some(FractionalPercent {
+                numerator: (dropped * MILLION).round() as u32,
+                denominator: DenominatorType::Million as i32,
+            }),
+        };
+        let policy = (dropped > 0.0).then(|| Policy { drop_overloads: vec![drops], ..Policy::default() });
+        let message = ClusterLoadAssignment {
+            cluster_name: self.cluster.clone(),
+            endpoints: endpoints.collect(),
+            policy,
+            ..ClusterLoadAssignment::default()
+        };
+        Any { type_url: types::ASSIGNMENT.into(), value: message.encode_to_vec().into() }
+    }
+
+    /// Errors: not an assignment, an endpoint without an address or with a weight of 0.
+    pub fn decode(any: &Any) -> Result<Self, Status> {
+        let wrong = |text: String| Status::new(Code::InvalidArgument, text);
+        if any.type_url != types::ASSIGNMENT {
+            return Err(wrong(format!("{} where a ClusterLoadAssignment was asked for", any.type_url)));
+        }
+        let message: ClusterLoadAssignment = decoded(&any.value, "ClusterLoadAssignment")?;
+        let cluster = message.cluster_name;
+        let mut rows = Vec::new();
+        for group in &message.endpoints {
+            let zone = group.locality.as_ref().map(|locality| locality.zone.clone()).unwrap_or_default();
+            for endpoint in &group.lb_endpoints {
+                let host = match &endpoint.host_identifier {
+                    Some(HostIdentifier::Endpoint(host)) => address_in(host.address.as_ref()),
+                    _ => None,
+                };
+                let Some(address) = host else {
+                    return Err(wrong(format!("{cluster}: an endpoint without a socket address")));
+                };
+                let weight = endpoint.load_balancing_weight.as_ref().map_or(1, |weight| weight.value);
+                if weight == 0 {
+                    return Err(wrong(format!("{cluster}: endpoint {address} has weight 0; leave it out")));
+                }
+                rows.push(Row {
+                    address,
+                    zone: zone.clone(),
+                    health: match endpoint.health_status() {
+                        HealthStatus::Unknown | HealthStatus::Healthy => Health::Ready,
+                        HealthStatus::Draining => Health::Draining,
+                        _ => Health::Unhealthy,
+                    },
+                    weight: f64::from(weight) / UNIT,
+                    facts: endpoint.metadata.as_ref().and_then(ServerFacts::decode),
+                });
+            }
+        }
+        let mut admitted = 1.0;
+        for drop in message.policy.iter().flat_map(|policy| &policy.drop_overloads) {
+            if let Some(part) = &drop.drop_percentage {
+                let whole = match part.denominator() {
+                    DenominatorType::Hundred => 100.0,
+                    DenominatorType::TenThousand => 10_000.0,
+                    DenominatorType::Million => MILLION,
+                };
+                // Each category drops from what the ones before let through.
+                admitted *= 1.0 - (f64::from(part.numerator) / whole).min(1.0);
+            }
+        }
+        Ok(Assignment { cluster, rows, admitted })
+    }
+}
--- /dev/null
+++ b/crates/xds/src/services.rs
@@ -0,0 +1,133 @@
+//! What a client needs before it asks for endpoints: a listener, its routes, and a cluster an operation.
+
+use prost::Message;
+use shalereel::interface::FurtherTry;
+use shalereel_rpc::Status;
+use xds_api::pb::envoy::config::cluster::v3::cluster::{
+    ClusterDiscoveryType, DiscoveryType, EdsClusterConfig, LbPolicy,
+};
+use xds_api::pb::envoy::config::cluster::v3::Cluster;
+use xds_api::pb::envoy::config::core::v3::{
+    config_source::ConfigSourceSpecifier, AggregatedConfigSource, ApiVersion, ConfigSource,
+};
+use xds_api::pb::envoy::config::listener::v3::{ApiListener, Listener};
+use xds_api::pb::envoy::config::route::v3::{
+    route, route_action::ClusterSpecifier, route_match::PathSpecifier, RetryPolicy, Route, RouteAction,
+    RouteConfiguration, RouteMatch, VirtualHost,
+};
+use xds_api::pb::envoy::extensions::filters::network::http_connection_manager::v3::{
+    http_connection_manager::RouteSpecifier, HttpConnectionManager, Rds,
+};
+use xds_api::pb::google::protobuf::{Any, UInt32Value};
+
+use crate::{decoded, types};
+
+/// Failures that prove that a try never ran.
+const PROOF: &str = "connect-failure,refused-stream";
+/// Any failure.
+const FAILURE: &str = "5xx,reset,connect-failure,refused-stream,cancelled,deadline-exceeded,unavailable";
+
+fn from_ads() -> ConfigSource {
+    ConfigSource {
+        config_source_specifier: Some(ConfigSourceSpecifier::Ads(AggregatedConfigSource::default())),
+        resource_api_version: ApiVersion::V3 as i32,
+        ..ConfigSource::default()
+    }
+}
+
+/// A listener for clients that route by themselves (`api_listener`), with routes of the same name.
+pub fn listener(name: &str) -> Any {
+    let manager = HttpConnectionManager {
+        stat_prefix: name.into(),
+        route_specifier: Some(RouteSpecifier::Rds(Rds {
+            config_source: Some(from_ads()),
+            route_config_name: name.into(),
+        })),
+        ..HttpConnectionManager::default()
+    };
+    let url = "type.googleapis.com/envoy.extensions.filters.network.http_connection_manager.v3.HttpConnectionManager";
+    let manager = Any { type_url: url.into(), value: manager.encode_to_vec().into() };
+    let api_listener = Some(ApiListener { api_listener: Some(manager) });
+    let listener = Listener { name: name.into(), api_listener, ..Listener::default() };
+    Any { type_url: types::LISTENER.into(), value: listener.encode_to_vec().into() }
+}
+
+/// A cluster whose endpoints are asked for by the operation's own name.
+pub fn cluster(operation: &str) -> Any {
+    let cluster = Cluster {
+        name: operation.into(),
+        cluster_discovery_type: Some(ClusterDiscoveryType::Type(DiscoveryType::Eds as i32)),
+        eds_cluster_config: Some(EdsClusterConfig {
+            eds_config: Some(from_ads()),
+            ..EdsClusterConfig::default()
+        }),
+        lb_policy: LbPolicy::RoundRobin as i32,
+        ..Cluster::default()
+    };
+    Any { type_url: types::CLUSTER.into(), value: cluster.encode_to_vec().into() }
+}
+
+fn retries(further: FurtherTry) -> Option<RetryPolicy> {
+    let (retry_on, most) = match further {
+        FurtherTry::Never => return None,
+        FurtherTry::AfterProof => (PROOF, 1),
+        FurtherTry::Once => (FAILURE, 1),
+        FurtherTry::Twice => (FAILURE, 2),
+    };
+    Some(RetryPolicy {
+        retry_on: retry_on.into(),
+        num_retries: Some(UInt32Value { value: most }),
+        ..RetryPolicy::default()
+    })
+}
+
+/// One route an operation, by the last part of the path: `/<any service>/<operation>` goes by `prefix`.
+pub fn routes<'a>(name: &str, prefix: &str, operations: impl Iterator<Item = (&'a str, FurtherTry)>) -> Any {
+    let route = |(operation, further): (&str, FurtherTry)| Route {
+        name: operation.into(),
+        r#match: Some(RouteMatch {
+            path_specifier: Some(PathSpecifier::Path(format!("{prefix}{operation}"))),
+            ..RouteMatch::default()
+        }),
+        action: Some(route::Action::Route(RouteAction {
+            cluster_specifier: Some(ClusterSpecifier::Cluster(operation.into())),
+            retry_policy: retries(further),
+            ..RouteAction::default()
+        })),
+        ..Route::default()
+    };
+    let host = VirtualHost {
+        name: name.into(),
+        domains: vec!["*".into()],
+        routes: operations.map(route).collect(),
+        ..VirtualHost::default()
+    };
+    let routes =
+        RouteConfiguration { name: name.into(), virtual_hosts: vec![host], ..RouteConfiguration::default() };
+    Any { type_url: types::ROUTES.into(), value: routes.encode_to_vec().into() }
+}
+
+/// Client side: what the routes say of further tries, by operation.
+pub fn read_retries(any: &Any) -> Result<Vec<(String, FurtherTry)>, Status> {
+    let routes: RouteConfiguration = decoded(&any.value, "RouteConfiguration")?;
+    let mut found = Vec::new();
+    for route in routes.virtual_hosts.iter().flat_map(|host| &host.routes) {
+        let Some(route::Action::Route(action)) = &route.action else { continue };
+        let Some(ClusterSpecifier::Cluster(cluster)) = &action.cluster_specifier else { continue };
+        let most = |policy: &RetryPolicy| policy.num_retries.as_ref().map_or(1, |number| number.value);
+        let further = match &action.retry_policy {
+            None => FurtherTry::Never,
+            Some(policy) if most(policy) == 0 => FurtherTry::Never,
+            // What is not known to be proof alone counts as any failure.
+            Some(policy)
+                if policy.retry_on.split(',').all(|on| PROOF.split(',').any(|proof| proof == on)) =>
+            {
+                FurtherTry::AfterProof
+            }
+            Some(policy) if most(policy) == 1 => FurtherTry::Once,
+            Some(_) => FurtherTry::Twice,
+        };
+        found.push((cluster.clone(), further));
+    }
+    Ok(found)
+}
