--- /dev/null
+++ b/crates/supervisor/src/core.rs
@@ -0,0 +1,650 @@
+//! The supervisor without its sockets: what peers say goes in, what to write comes out. Messages become events,
+//! the module decides, and its orders become messages again. Free of I/O and clock.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use shalereel::brain::Brain;
+use shalereel::interface::{Event, Nanos, Order, ProbeEnding, ProxyId, RosterNews, ServerId, TableId};
+use shalereel_rpc::{Code, Status};
+use shalereel_xds::{
+    cluster, listener, types, Asked, Assignment, LoadAnswer, LoadReport, NodeFacts, Resource, Serving,
+    Variant, SHUNNED,
+};
+
+use crate::channel::{Channel, Departure, Patience, Verdict};
+use crate::deployment::{Deployment, Planted};
+use crate::reports::Reports;
+use crate::roster::Roster;
+use crate::tables::{Reach, Tables};
+
+/// A stream, numbered by the shell; never given twice.
+pub type Peer = u64;
+
+/// Name of the listener and its routes that clients start from.
+pub const LISTENER: &str = "shalereel";
+/// Path before an operation's name.
+pub const PREFIX: &str = "/shalereel.work.v1.Work/";
+
+/// What the shell is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Say {
+        peer: Peer,
+        message: Vec<u8>,
+    },
+    End {
+        peer: Peer,
+        status: Status,
+    },
+    /// Subscribe to the registry's list, or leave it.
+    Listen(bool),
+    /// Ask for the whole list once.
+    AskList,
+    Probe {
+        server: ServerId,
+        address: std::net::SocketAddr,
+    },
+    Remark(String),
+    /// Something odd that costs nothing but a word.
+    Odd(String),
+    /// The list has changed: keep it.
+    Remember(Vec<u8>),
+}
+
+/// A group of responses said together, and the marks that their answers confirm.
+#[derive(Debug)]
+struct Said {
+    assignment: Option<u64>,
+    routes: Option<u64>,
+    serials: Vec<(u16, Nanos)>,
+    at: Nanos,
+}
+
+impl Said {
+    fn answered(&self) -> bool {
+        self.assignment.is_none() && self.routes.is_none()
+    }
+}
+
+/// A joined proxy.
+#[derive(Debug)]
+struct Proxy {
+    peer: Peer,
+    locality: u16,
+    tables: BTreeMap<u16, TableId>,
+    /// What left the channel and is not written yet: when it was ordered, and its marks.
+    due: Option<(Nanos, Vec<(u16, Nanos)>)>,
+    said: VecDeque<Said>,
+    /// Versions of the resources written last.
+    told: BTreeMap<String, (u64, u64)>,
+    turned_down: u32,
+    /// Marks of what it turned down, and when that is said again.
+    parked: Vec<(u16, Nanos)>,
+    again_at: Option<Nanos>,
+}
+
+#[derive(Debug)]
+struct Stream {
+    serving: Serving,
+    /// Known once its first message was read.
+    proxy: Option<ProxyId>,
+}
+
+/// One supervisor.
+pub struct Core {
+    deployment: Deployment,
+    brain: Brain,
+    tables: Tables,
+    channel: Channel,
+    patience: Patience,
+    roster: Roster,
+    reports: Reports,
+    streams: BTreeMap<Peer, Stream>,
+    /// Load streams, and the proxy whose first report named it.
+    loads: BTreeMap<Peer, Option<(ProxyId, u16)>>,
+    proxies: BTreeMap<ProxyId, Proxy>,
+    numbers: BTreeMap<String, ProxyId>,
+    timers: BTreeMap<(Nanos, u64), u64>,
+    events: Vec<Event>,
+    effects: Vec<Effect>,
+    nonce: u64,
+    identity: String,
+    reported: Nanos,
+    decided: Option<Nanos>,
+}
+
+impl Core {
+    /// `kept`: the list that an earlier run left behind.
+    pub fn new(deployment: Deployment, now: Nanos, kept: Option<&[u8]>) -> Self {
+        let facts = &deployment.facts;
+        let mut core = Core {
+            brain: Brain::new(facts),
+            tables: Tables::default(),
+            channel: Channel::new(facts, deployment.paced),
+            patience: Patience::new(facts),
+            roster: Roster::new(&deployment.localities),
+            reports: Reports::default(),
+            streams: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            proxies: BTreeMap::new(),
+            numbers: BTreeMap::new(),
+            timers: BTreeMap::new(),
+            events: Vec::new(),
+            effects: Vec::new(),
+            nonce: 0,
+            identity: format!("shalereel/{}", facts.supervisor),
+            reported: now,
+            decided: None,
+            deployment,
+        };
+        match kept.map(|kept| core.roster.recall(now, kept)) {
+            Some(Ok(news)) => core.events.push(Event::Roster(news)),
+            Some(Err(error)) => {
+                core.effects.push(Effect::Odd(format!("the kept list is left unread: {error}")))
+            }
+            None => {}
+        }
+        core
+    }
+
+    /// A discovery stream was opened.
+    pub fn opened(&mut self, peer: Peer, variant: Variant) {
+        let serving = Serving::new(variant, &self.identity);
+        self.streams.insert(peer, Stream { serving, proxy: None });
+    }
+
+    /// A load stream was opened.
+    pub fn reporting(&mut self, peer: Peer) {
+        self.loads.insert(peer, None);
+    }
+
+    /// A message on either kind of stream. What is wrong with it ends that stream.
+    pub fn said(&mut self, now: Nanos, peer: Peer, message: &[u8]) {
+        let result = if self.loads.contains_key(&peer) {
+            self.report(peer, message)
+        } else {
+            self.discover(now, peer, message)
+        };
+        if let Err(status) = result {
+            self.ended(peer);
+            self.effects.push(Effect::End { peer, status });
+        }
+    }
+
+    fn report(&mut self, peer: Peer, message: &[u8]) -> Result<(), Status> {
+        let report = LoadReport::decode(message)?;
+        if let Some(node) = &report.node {
+            let proxy = self.numbers.get(&node.id).copied();
+            let locality = self.roster.locality(&node.zone).unwrap_or(0);
+            let first = self.loads.insert(peer, proxy.map(|proxy| (proxy, locality)));
+            if first == Some(None) {
+                let answer = LoadAnswer { interval: self.deployment.facts.report_cycle, by_endpoint: true };
+                self.effects.push(Effect::Say { peer, message: answer.encode() });
+            }
+        }
+        // Reports of proxies that are not ours, or no longer, tell of tables that are not ours.
+        if let Some(&Some((proxy, locality))) = self.loads.get(&peer) {
+            if self.proxies.contains_key(&proxy) {
+                self.reports.add(proxy, locality, &report, &self.deployment.operations, &self.roster);
+            }
+        }
+        Ok(())
+    }
+
+    fn discover(&mut self, now: Nanos, peer: Peer, message: &[u8]) -> Result<(), Status> {
+        let Some(stream) = self.streams.get_mut(&peer) else { return Ok(()) };
+        for asked in stream.serving.hear(message)? {
+            match asked {
+                Asked::Node(node) => self.join(peer, &node)?,
+                Asked::Wants { type_url, names } => self.answer(now, peer, &type_url, names),
+                Asked::Holds { type_url, nonce } => self.answered(now, peer, &type_url, nonce),
+                Asked::TurnedDown { type_url, nonce, why } => {
+                    self.turned_down(now, peer, &type_url, nonce, &why);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn join(&mut self, peer: Peer, node: &NodeFacts) -> Result<(), Status> {
+        let Some(locality) = self.roster.locality(&node.zone) else {
+            let text = format!("zone {:?} of node {:?} is not one of this deployment's", node.zone, node.id);
+            return Err(Status::new(Code::FailedPrecondition, text));
+        };
+        let proxy = self.number(&node.id)?;
+        // The same node again: its older stream is half open at best.
+        if let Some(older) = self.proxies.get(&proxy).map(|proxy| proxy.peer) {
+            self.ended(older);
+            let text = format!("node {:?} has opened another stream", node.id);
+            self.effects.push(Effect::End { peer: older, status: Status::new(Code::Cancelled, text) });
+        }
+        if let Some(stream) = self.streams.get_mut(&peer) {
+            stream.proxy = Some(proxy);
+        }
+        let member = Proxy {
+            peer,
+            locality,
+            tables: BTreeMap::new(),
+            due: None,
+            said: VecDeque::new(),
+            told: BTreeMap::new(),
+            turned_down: 0,
+            parked: Vec::new(),
+            again_at: None,
+        };
+        self.proxies.insert(proxy, member);
+        let (rate, standing_only) = (node.rate, node.standing_only);
+        self.events.push(Event::Joined { proxy, locality, rate, standing_only });
+        Ok(())
+    }
+
+    fn number(&mut self, id: &str) -> Result<ProxyId, Status> {
+        if let Some(&number) = self.numbers.get(id) {
+            return Ok(number);
+        }
+        let most = self.deployment.facts.proxies as usize;
+        if self.proxies.len() >= 2 * most {
+            let text = format!("{} proxies are joined, twice what the deployment is for", self.proxies.len());
+            return Err(Status::new(Code::ResourceExhausted, text));
+        }
+        if self.numbers.len() >= 4 * most {
+            self.numbers.retain(|_, number| self.proxies.contains_key(number));
+        }
+        let taken: std::collections::BTreeSet<ProxyId> = self.numbers.values().copied().collect();
+        let number = (0..ProxyId::MAX).find(|number| !taken.contains(number)).unwrap_or(ProxyId::MAX);
+        self.numbers.insert(id.to_owned(), number);
+        Ok(number)
+    }
+
+    /// The stream is over, whoever ended it.
+    pub fn ended(&mut self, peer: Peer) {
+        self.loads.remove(&peer);
+        let Some(stream) = self.streams.remove(&peer) else { return };
+        let Some(proxy) = stream.proxy else { return };
+        if self.proxies.get(&proxy).is_some_and(|member| member.peer == peer) {
+            self.proxies.remove(&proxy);
+            self.channel.forget(proxy);
+            self.reports.forget(proxy);
+            self.events.push(Event::Left { proxy });
+        }
+    }
+
+    /// A whole list from the registry. Errors: the reason why it cannot be taken.
+    pub fn listed(&mut self, now: Nanos, list: &Assignment) {
+        let mut odd = Vec::new();
+        let news = self.roster.hear(now, list, &mut odd);
+        self.effects.extend(odd.into_iter().map(|text| Effect::Odd(format!("the list: {text}; left out"))));
+        self.effects.push(Effect::Remember(self.roster.remember()));
+        self.events.push(Event::Roster(news));
+    }
+
+    /// The registry does not answer, or its stream broke.
+    pub fn list_failed(&mut self) {
+        self.events.push(Event::Roster(RosterNews::Failed));
+    }
+
+    pub fn probed(&mut self, server: ServerId, ending: ProbeEnding, took: Nanos) {
+        self.events.push(Event::Probed { server, ending, took, load: Vec::new() });
+    }
+
+    /// The most lines that ever waited in the channel, and those that wait now.
+    pub fn backlog(&self) -> (f64, f64) {
+        (self.channel.most, self.channel.waiting())
+    }
+
+    pub fn joined(&self) -> usize {
+        self.proxies.len()
+    }
+
+    /// When it wants its next turn, whatever comes.
+    pub fn next(&self) -> Nanos {
+        let batch = self.decided.map_or(0, |at| at + self.deployment.tick);
+        let pending = (!self.events.is_empty()).then_some(batch);
+        let timer = self.timers.keys().next().map(|key| key.0.max(batch));
+        let cycle = self.reported + self.deployment.facts.report_cycle;
+        let again = self.proxies.values().filter_map(|proxy| proxy.again_at).min();
+        let parts = [pending, timer, Some(cycle), self.channel.next(), again];
+        parts.into_iter().flatten().min().unwrap_or(cycle)
+    }
+
+    /// One turn: a batch for the module if one is due, and all that has left the channel. `blocked` tells which
+    /// peers have not taken what was written before.
+    pub fn turn(&mut self, now: Nanos, blocked: impl Fn(Peer) -> bool) -> Vec<Effect> {
+        if now >= self.reported + self.deployment.facts.report_cycle {
+            self.reported = now;
+            self.events.extend(self.reports.take());
+            self.part_with_silent(now);
+        }
+        if self.decided.is_none_or(|at| now >= at + self.deployment.tick) {
+            while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= now) {
+                self.events.push(Event::Fired { ctx: entry.remove() });
+            }
+            if !self.events.is_empty() {
+                self.decided = Some(now);
+                let orders = self.brain.decide(now, std::mem::take(&mut self.events));
+                self.carry_out(now, orders);
+            }
+        }
+        while let Some(departure) = self.channel.depart(now) {
+            self.departed(departure);
+        }
+        let again = |proxy: &Proxy| proxy.again_at.is_some_and(|at| at <= now);
+        let ready: Vec<ProxyId> = self
+            .proxies
+            .iter()
+            .filter(|(_, proxy)| (proxy.due.is_some() || again(proxy)) && !blocked(proxy.peer))
+            .map(|(&id, _)| id)
+            .collect();
+        for id in ready {
+            self.write(now, id);
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    fn departed(&mut self, departure: Departure) {
+        let Some(proxy) = self.proxies.get_mut(&departure.proxy) else { return };
+        let (_, serials) = proxy.due.get_or_insert((departure.ordered, Vec::new()));
+        serials.extend(departure.serial.map(|serial| (serial, departure.ordered)));
+    }
+
+    /// Carries one reply out: state first, then one message for each proxy concerned.
+    fn carry_out(&mut self, now: Nanos, orders: Vec<Order>) {
+        let mut lines: BTreeMap<ProxyId, f64> = BTreeMap::new();
+        let (mut serial, mut everyone) = (None, false);
+        for order in self.planted(now, orders) {
+            match order {
+                Order::Remind { span, ctx } => {
+                    self.nonce += 1;
+                    self.timers.insert((now + span.max(1), self.nonce), ctx);
+                }
+                Order::Probe { server } => {
+                    let address = self.roster.place(server).map(|place| place.address);
+                    self.effects.extend(address.map(|address| Effect::Probe { server, address }));
+                }
+                Order::Remark(line) => self.effects.push(Effect::Remark(line)),
+                Order::Listen { on } => self.effects.push(Effect::Listen(on)),
+                Order::GetList => self.effects.push(Effect::AskList),
+                // No peer message is ordered by the module as it stands; supervisors share nothing.
+                Order::Mail { .. } => {}
+                Order::FencePost { serial: number, everyone: all } => {
+                    (serial, everyone) = (Some(number), all)
+                }
+                Order::Install { proxy, table, operations: mask } => {
+                    let Some(member) = self.proxies.get_mut(&proxy) else { continue };
+                    let chosen = (0..self.deployment.operations.len() as u16)
+                        .filter(|at| mask == 0 || mask & (1 << at) != 0);
+                    member.tables.extend(chosen.map(|at| (at, table)));
+                    *lines.entry(proxy).or_default() += 1.0 + self.tables.size(table) as f64;
+                }
+                order => {
+                    let reach = self.tables.apply(&order, self.deployment.operations.len());
+                    for (&id, proxy) in &self.proxies {
+                        let concerned = match reach {
+                            Reach::Nobody => false,
+                            Reach::Users(table) => proxy.tables.values().any(|&at| at == table),
+                            Reach::Holders(server) => {
+                                proxy.tables.is_empty()
+                                    || proxy.tables.values().any(|&at| self.tables.lists(at, server))
+                            }
+                            Reach::Everyone => true,
+                        };
+                        if concerned {
+                            *lines.entry(id).or_default() += 1.0;
+                        }
+                    }
+                }
+            }
+        }
+        if everyone {
+            lines.extend(
+                self.proxies
+                    .keys()
+                    .filter(|id| !lines.contains_key(id))
+                    .map(|&id| (id, 0.0))
+                    .collect::<Vec<_>>(),
+            );
+        }
+        if serial.is_some() {
+            lines.values_mut().for_each(|lines| *lines += 1.0);
+        }
+        self.channel.put(now, &lines, serial);
+    }
+
+    /// Orders as a supervisor with a planted fault would give them; as they are in service.
+    fn planted(&self, now: Nanos, orders: Vec<Order>) -> Vec<Order> {
+        let Some(fault) = self.deployment.planted else { return orders };
+        let cold = |server| self.roster.started_within(server, now, self.deployment.facts.cold_for);
+        let bend = |order: Order| match (fault, order) {
+            (Planted::DropSuspensions, Order::Suspend { .. }) => vec![],
+            (Planted::DropSuspensions, Order::Line { server, weight, .. })
+                if weight == 0.0 && self.roster.draining(server) =>
+            {
+                vec![]
+            }
+            (Planted::RepeatAll, Order::Gate { table, operations, amount, .. }) => {
+                vec![Order::Gate {
+                    table,
+                    operations,
+                    amount,
+                    further: shalereel::interface::FurtherTry::Twice,
+                }]
+            }
+            (Planted::ColdInFull, Order::Line { table, server, .. }) if cold(server) => {
+                vec![Order::Line { table, server, weight: 1e4 }]
+            }
+            (Planted::Flood, order @ Order::Line { .. }) => vec![order; 200],
+            (Planted::EmptyTables, Order::Line { table, server, .. }) => {
+                vec![Order::Line { table, server, weight: 0.0 }]
+            }
+            (_, order) => vec![order],
+        };
+        orders.into_iter().flat_map(bend).collect()
+    }
+
+    /// Writes to a proxy all that changed since it was last written to.
+    fn write(&mut self, now: Nanos, id: ProxyId) {
+        let Some(proxy) = self.proxies.get_mut(&id) else { return };
+        proxy.again_at = None;
+        let (ordered, mut serials) = proxy.due.take().unwrap_or((now, Vec::new()));
+        serials.extend(proxy.parked.drain(..));
+        let Some(stream) = self.streams.get_mut(&proxy.peer) else { return };
+        let tables = proxy.tables.clone();
+        let mut said = Said { assignment: None, routes: None, serials, at: now };
+        let mut resources = Vec::new();
+        let mut changed = |name: &str, version: (u64, u64)| {
+            let old = proxy.told.get(name).copied();
+            (old != Some(version)).then(|| proxy.told.insert(name.to_owned(), version)).is_some()
+        };
+        let shun = (self.tables.shunned_version(), self.roster.version());
+        if stream.serving.wants(types::ASSIGNMENT, SHUNNED) && shun.0 > 0 && changed(SHUNNED, shun) {
+            let (name, any) = (SHUNNED.to_owned(), self.tables.shunned(&self.roster));
+            resources.push(Resource { name, version: shun.0.to_string(), any });
+        }
+        for (&at, &table) in &tables {
+            let name = &self.deployment.operations[usize::from(at)];
+            let version = (self.tables.version(table), self.roster.version());
+            if stream.serving.wants(types::ASSIGNMENT, name) && changed(name, version) {
+                let any = self.tables.assignment(table, at, name, &self.roster);
+                resources.push(Resource {
+                    name: name.clone(),
+                    version: format!("{}.{}", version.0, version.1),
+                    any,
+                });
+            }
+        }
+        let version = format!("{}-{}", self.tables.shunned_version(), self.nonce);
+        if !resources.is_empty() {
+            self.nonce += 1;
+            said.assignment = Some(self.nonce);
+            let stamp = (self.nonce, ordered);
+            let message = stream.serving.say(types::ASSIGNMENT, &version, resources, Vec::new(), stamp);
+            self.effects.push(Effect::Say { peer: proxy.peer, message });
+        }
+        let further = |at: &u16| tables.get(at).map(|&table| self.tables.further(table, *at));
+        let ways: Vec<u64> = (0..self.deployment.operations.len() as u16)
+            .map(|at| further(&at).map_or(0, |way| way as u64))
+            .collect();
+        let ways = ways.iter().fold(1, |sum, way| sum * 4 + way);
+        if !tables.is_empty()
+            && stream.serving.wants(types::ROUTES, LISTENER)
+            && changed(types::ROUTES, (ways, 0))
+        {
+            self.nonce += 1;
+            said.routes = Some(self.nonce);
+            let names = &self.deployment.operations;
+            let any = self.tables.routes(LISTENER, PREFIX, names, |at| tables.get(&at).copied());
+            let resource = Resource { name: LISTENER.into(), version: ways.to_string(), any };
+            let stamp = (self.nonce, ordered);
+            let message = stream.serving.say(types::ROUTES, &version, vec![resource], Vec::new(), stamp);
+            self.effects.push(Effect::Say { peer: proxy.peer, message });
+        }
+        proxy.said.push_back(said);
+        self.confirm(now, id);
+    }
+
+    /// Answers what a client newly asks for: what stands at once, tables as they are.
+    fn answer(&mut self, now: Nanos, peer: Peer, type_url: &str, names: Option<Vec<String>>) {
+        let Some(stream) = self.streams.get_mut(&peer) else { return };
+        let operations = &self.deployment.operations;
+        let proxy = stream.proxy.and_then(|id| self.proxies.get_mut(&id));
+        let mut missing = Vec::new();
+        let mut resources = Vec::new();
+        match type_url {
+            types::ASSIGNMENT | types::ROUTES => {
+                let known = |name: &String| match type_url {
+                    types::ROUTES => name == LISTENER,
+                    _ => name == SHUNNED || operations.contains(name),
+                };
+                let (ours, strange): (Vec<String>, Vec<String>) =
+                    names.into_iter().flatten().partition(known);
+                missing = strange;
+                if let Some(proxy) = proxy {
+                    for name in &ours {
+                        proxy.told.remove(if type_url == types::ROUTES { types::ROUTES } else { name });
+                    }
+                    // A table that it is on already goes with the next write; it cost the channel its lines.
+                    if !ours.is_empty() && (!proxy.tables.is_empty() || !proxy.said.is_empty()) {
+                        proxy.due.get_or_insert((now, Vec::new()));
+                    }
+                }
+            }
+            types::CLUSTER => {
+                for name in names.unwrap_or_else(|| operations.clone()) {
+                    if operations.contains(&name) {
+                        resources.push(Resource { version: "1".into(), any: cluster(&name), name });
+                    } else {
+                        missing.push(name);
+                    }
+                }
+            }
+            _ => {
+                for name in names.unwrap_or_else(|| vec![LISTENER.into()]) {
+                    if name == LISTENER {
+                        resources.push(Resource { version: "1".into(), any: listener(&name), name });
+                    } else {
+                        missing.push(name);
+                    }
+                }
+            }
+        }
+        if !missing.is_empty() {
+            self.effects
+                .push(Effect::Odd(format!("asked for {missing:?} of {type_url}, which there is not")));
+        }
+        let stays_silent = resources.is_empty() && missing.is_empty();
+        if !stays_silent
+            && (type_url != types::ASSIGNMENT && type_url != types::ROUTES || !missing.is_empty())
+        {
+            self.nonce += 1;
+            let stamp = (self.nonce, now);
+            let message = stream.serving.say(type_url, "1", resources, missing, stamp);
+            self.effects.push(Effect::Say { peer, message });
+        }
+    }
+
+    fn member(&mut self, peer: Peer) -> Option<(ProxyId, &mut Proxy)> {
+        let id = self.streams.get(&peer)?.proxy?;
+        self.proxies.get_mut(&id).map(|proxy| (id, proxy))
+    }
+
+    fn answered(&mut self, now: Nanos, peer: Peer, type_url: &str, nonce: u64) {
+        let Some((id, proxy)) = self.member(peer) else { return };
+        for said in &mut proxy.said {
+            let open = match type_url {
+                types::ASSIGNMENT => &mut said.assignment,
+                types::ROUTES => &mut said.routes,
+                _ => continue,
+            };
+            if open.is_some_and(|open| open <= nonce) {
+                *open = None;
+                proxy.turned_down = 0;
+            }
+        }
+        self.confirm(now, id);
+    }
+
+    /// Marks count as answered once all that was said with them and before is.
+    fn confirm(&mut self, now: Nanos, id: ProxyId) {
+        let Some(proxy) = self.proxies.get_mut(&id) else { return };
+        while proxy.said.front().is_some_and(Said::answered) {
+            let serials = proxy.said.pop_front().map(|said| said.serials).unwrap_or_default();
+            self.events.extend(serials.into_iter().map(|(serial, ordered)| Event::Confirmed {
+                proxy: id,
+                serial: serial.into(),
+                took: now.saturating_sub(ordered),
+            }));
+        }
+    }
+
+    /// The proxy keeps what it had. Its marks stay unanswered until the same, said again, is held.
+    fn turned_down(&mut self, now: Nanos, peer: Peer, type_url: &str, nonce: u64, why: &str) {
+        let patience = self.patience;
+        let Some((id, proxy)) = self.member(peer) else { return };
+        proxy.turned_down += 1;
+        proxy.told.clear();
+        let verdict = patience.turned_down(now, proxy.turned_down);
+        let mut text = format!("proxy {id} turned down response {nonce} of {type_url}: {why}");
+        match verdict {
+            Verdict::Again(at) => {
+                // What was said and not answered is said anew as a whole, marks included.
+                proxy.parked.extend(proxy.said.drain(..).flat_map(|said| said.serials));
+                proxy.again_at = Some(at);
+                text.push_str("; said again later");
+            }
+            Verdict::Part => {
+                let status =
+                    Status::new(Code::FailedPrecondition, format!("turned down again and again: {why}"));
+                self.ended(peer);
+                self.effects.push(Effect::End { peer, status });
+                text.push_str("; its stream is ended");
+            }
+        }
+        self.effects.push(Effect::Odd(text));
+    }
+
+    /// Ends the streams of proxies that have not answered for too long: they join anew if they live.
+    fn part_with_silent(&mut self, now: Nanos) {
+        let since = |proxy: &Proxy| {
+            let said = proxy.said.front().map(|said| said.at);
+            said.into_iter().chain(proxy.due.as_ref().map(|due| due.0)).min()
+        };
+        let late = |proxy: &Proxy| since(proxy).is_some_and(|since| self.patience.answer_by(since) < now);
+        let silent: Vec<Peer> =
+            self.proxies.values().filter(|proxy| late(proxy)).map(|proxy| proxy.peer).collect();
+        for peer in silent {
+            self.ended(peer);
+            let text = "tables were not acknowledged in time; join anew";
+            self.effects.push(Effect::End { peer, status: Status::new(Code::DeadlineExceeded, text) });
+        }
+    }
+
+    /// Localities of the joined proxies, for the log.
+    pub fn localities(&self) -> BTreeMap<&str, usize> {
+        let mut count = BTreeMap::new();
+        for proxy in self.proxies.values() {
+            let name = self.deployment.localities.get(usize::from(proxy.locality));
+            *count.entry(name.map_or("", String::as_str)).or_default() += 1;
+        }
+        count
+    }
+}
--- /dev/null
+++ b/crates/supervisor/src/daemon.rs
@@ -0,0 +1,352 @@
+//! The shell: sockets, the registry's stream and the kept list round a [`Core`].
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io::Write;
+use std::path::Path;
+
+use anyhow::{Context, Result};
+use prost::Message;
+use shalereel::interface::{Nanos, ProbeEnding, ServerId};
+use shalereel_reactor::now;
+use shalereel_rpc::{Bounds, Code, ConnId, Hub, Input, Status, StreamId};
+use shalereel_xds::{
+    types, Assignment, NodeFacts, Subscribing, Variant, ADS, DELTA_ADS, DELTA_EDS, EDS, HEALTH, LRS,
+};
+
+use crate::core::{Core, Effect, Peer};
+use crate::deployment::Deployment;
+
+/// What one connection may cost: a report of thousands of servers fits, a flood does not.
+const BOUNDS: Bounds = Bounds { message: 4 << 20, calls: 64, unread: 8 << 20 };
+/// Resource name of the whole fleet at the registry.
+pub const FLEET: &str = "fleet";
+/// File of the kept list, in the deployment's folder.
+const KEPT: &str = "last-list.json";
+
+/// `grpc.health.v1.HealthCheckResponse`; 1 is serving.
+#[derive(Clone, PartialEq, Message)]
+struct HealthAnswer {
+    #[prost(int32, tag = "1")]
+    status: i32,
+}
+
+enum Key {
+    Dial,
+    ProbeLate(ConnId),
+}
+
+enum Call {
+    Peer(Peer),
+    List,
+    Probe(ServerId),
+}
+
+struct Daemon {
+    hub: Hub<(), Key>,
+    core: Core,
+    deployment: Deployment,
+    calls: BTreeMap<(ConnId, StreamId), Call>,
+    peers: BTreeMap<Peer, (ConnId, StreamId)>,
+    last_peer: Peer,
+    registry: Option<ConnId>,
+    list: Subscribing,
+    listening: bool,
+    probes: BTreeMap<ConnId, (ServerId, Nanos)>,
+    stopping: bool,
+}
+
+/// Runs until it is told to stop. `ready` is called once with the address that is served.
+pub fn run(deployment: Deployment, ready: impl FnOnce(std::net::SocketAddr) -> Result<()>) -> Result<()> {
+    fs::create_dir_all(&deployment.folder)
+        .with_context(|| format!("folder {} cannot be made", deployment.folder.display()))?;
+    let kept = deployment.folder.join(KEPT);
+    let list = match fs::read(&kept) {
+        Ok(list) => Some(list),
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => None,
+        Err(error) => {
+            tracing::warn!(file = %kept.display(), %error, "the kept list cannot be read; starting without");
+            None
+        }
+    };
+    let mut hub = Hub::new(BOUNDS)?;
+    hub.stop_on_signals()?;
+    let (_, address) =
+        hub.listen(deployment.listen, ()).with_context(|| format!("listen {}", deployment.listen))?;
+    let facts = &deployment.facts;
+    let node = NodeFacts {
+        id: format!("supervisor-{}", facts.supervisor),
+        zone: deployment.localities[usize::from(facts.locality)].clone(),
+        ..NodeFacts::default()
+    };
+    let pushed = !facts.membership_on_request;
+    let mut daemon = Daemon {
+        core: Core::new(deployment.clone(), now(), list.as_deref()),
+        hub,
+        calls: BTreeMap::new(),
+        peers: BTreeMap::new(),
+        last_peer: 0,
+        registry: None,
+        list: Subscribing::new(Variant::StateOfTheWorld, node),
+        listening: pushed,
+        probes: BTreeMap::new(),
+        stopping: false,
+        deployment,
+    };
+    // What opens the list's stream, whenever it is dialled.
+    daemon.list.want(types::ASSIGNMENT, [FLEET.to_owned()]);
+    tracing::info!(%address, supervisor = daemon.deployment.facts.supervisor, "serving");
+    ready(address)?;
+    if pushed {
+        daemon.dial();
+    }
+    while !daemon.stopping {
+        daemon.turn()?;
+    }
+    daemon.part();
+    Ok(())
+}
+
+impl Daemon {
+    fn turn(&mut self) -> Result<()> {
+        for input in self.hub.wait(Some(self.core.next().max(now())))? {
+            self.take(input);
+        }
+        let (hub, peers) = (&self.hub, &self.peers);
+        let blocked =
+            |peer: Peer| peers.get(&peer).is_some_and(|&(conn, stream)| hub.unread(conn, stream) > 0);
+        for effect in self.core.turn(now(), blocked) {
+            self.carry_out(effect);
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, input: Input<(), Key>) {
+        match input {
+            Input::Call { conn, stream, path, .. } => self.called(conn, stream, &path),
+            Input::Message { conn, stream, message } => match self.calls.get(&(conn, stream)) {
+                Some(Call::Peer(peer)) => self.core.said(now(), *peer, &message),
+                Some(Call::List) => self.listed(conn, stream, &message),
+                Some(&Call::Probe(server)) => {
+                    let serving = HealthAnswer::decode(message).is_ok_and(|answer| answer.status == 1);
+                    let ending = if serving { ProbeEnding::Answered } else { ProbeEnding::Rejected };
+                    self.probe_over(conn, server, ending);
+                }
+                None => {}
+            },
+            // A client that says no more has left: discovery and load streams live by both directions.
+            Input::HalfClosed { conn, stream } => {
+                self.over(conn, stream, "half closed");
+                self.hub.finish(conn, stream, Status::OK);
+            }
+            Input::Ended { conn, stream, status } => self.over(conn, stream, &status.to_string()),
+            Input::Closed { conn, why } => self.closed(conn, &why),
+            Input::Due(Key::Dial) => self.dial(),
+            Input::Due(Key::ProbeLate(conn)) => {
+                if let Some(&(server, _)) = self.probes.get(&conn) {
+                    self.probe_over(conn, server, ProbeEnding::TimedOut);
+                }
+            }
+            Input::Stop => self.stopping = true,
+            Input::Opened { .. } | Input::Line(_) | Input::NoMoreLines => {}
+        }
+    }
+
+    fn called(&mut self, conn: ConnId, stream: StreamId, path: &str) {
+        self.last_peer += 1;
+        let peer = self.last_peer;
+        match path {
+            ADS | EDS => self.core.opened(peer, Variant::StateOfTheWorld),
+            DELTA_ADS | DELTA_EDS => self.core.opened(peer, Variant::Incremental),
+            LRS => self.core.reporting(peer),
+            HEALTH => {
+                self.hub.send(conn, stream, &HealthAnswer { status: 1 }.encode_to_vec());
+                return self.hub.finish(conn, stream, Status::OK);
+            }
+            other => {
+                let status = Status::new(Code::Unimplemented, format!("{other} is not served here"));
+                return self.hub.finish(conn, stream, status);
+            }
+        }
+        self.calls.insert((conn, stream), Call::Peer(peer));
+        self.peers.insert(peer, (conn, stream));
+    }
+
+    fn over(&mut self, conn: ConnId, stream: StreamId, why: &str) {
+        match self.calls.remove(&(conn, stream)) {
+            Some(Call::Peer(peer)) => {
+                tracing::debug!(peer, why, "a stream is over");
+                self.peers.remove(&peer);
+                self.core.ended(peer);
+            }
+            Some(Call::List) => {
+                self.hub.close(conn, false);
+                self.registry_lost(why);
+            }
+            Some(Call::Probe(server)) => self.probe_over(conn, server, ProbeEnding::Errored),
+            None => {}
+        }
+    }
+
+    fn closed(&mut self, conn: ConnId, why: &str) {
+        let streams: Vec<StreamId> =
+            self.calls.range((conn, 0)..=(conn, StreamId::MAX)).map(|((_, stream), _)| *stream).collect();
+        streams.into_iter().for_each(|stream| self.over(conn, stream, why));
+        if self.registry == Some(conn) {
+            self.registry_lost(why);
+        }
+        if let Some(&(server, _)) = self.probes.get(&conn) {
+            self.probe_over(conn, server, ProbeEnding::Unreachable);
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Say { peer, message } => {
+                if let Some(&(conn, stream)) = self.peers.get(&peer) {
+                    self.hub.send(conn, stream, &message);
+                }
+            }
+            Effect::End { peer, status } => {
+                tracing::warn!(peer, %status, "a stream is ended");
+                if let Some((conn, stream)) = self.peers.remove(&peer) {
+                    self.calls.remove(&(conn, stream));
+                    // One that reads nothing would never see a status.
+                    if self.hub.unread(conn, stream) > 0 {
+                        self.hub.cancel(conn, stream);
+                    } else {
+                        self.hub.finish(conn, stream, status);
+                    }
+                }
+            }
+            Effect::Listen(on) => {
+                self.listening = on;
+                if let Some(conn) = self.registry.take() {
+                    self.hub.close(conn, false);
+                    self.calls.retain(|(of, _), _| *of != conn);
+                }
+                if on {
+                    self.dial();
+                }
+            }
+            Effect::AskList => {
+                if let Some(conn) = self.registry.take() {
+                    self.hub.close(conn, false);
+                    self.calls.retain(|(of, _), _| *of != conn);
+                }
+                self.dial();
+            }
+            Effect::Probe { server, address } => self.probe(server, address),
+            Effect::Remark(line) => tracing::info!(remark = line),
+            Effect::Odd(line) => tracing::warn!("{line}"),
+            Effect::Remember(list) => {
+                if let Err(error) = keep(&self.deployment.folder, &list) {
+                    tracing::warn!(%error, "the list could not be kept");
+                }
+            }
+        }
+    }
+
+    fn dial(&mut self) {
+        if self.registry.is_some() {
+            return;
+        }
+        match self.hub.dial(self.deployment.registry) {
+            Ok(conn) => {
+                self.registry = Some(conn);
+                let Some(stream) = self.hub.call(conn, ADS, None) else { return };
+                self.calls.insert((conn, stream), Call::List);
+                for message in self.list.reopen() {
+                    self.hub.send(conn, stream, &message);
+                }
+            }
+            Err(error) => self.registry_lost(&error.to_string()),
+        }
+    }
+
+    /// Where the list is pushed it is dialled again a report cycle later; where it is asked for, the module
+    /// says when.
+    fn registry_lost(&mut self, why: &str) {
+        if self.registry.take().is_none() {
+            return;
+        }
+        tracing::warn!(why, "the registry's stream is lost");
+        self.core.list_failed();
+        if !self.deployment.facts.membership_on_request {
+            self.hub.set(now() + self.deployment.facts.report_cycle, Key::Dial);
+        }
+    }
+
+    fn listed(&mut self, conn: ConnId, stream: StreamId, message: &[u8]) {
+        let update = match self.list.hear(message) {
+            Ok(update) => update,
+            Err(status) => {
+                tracing::warn!(%status, "the registry's message cannot be read");
+                self.hub.cancel(conn, stream);
+                return self.over(conn, stream, "unreadable");
+            }
+        };
+        let lists: Result<Vec<Assignment>, Status> =
+            update.resources.iter().map(Assignment::decode).collect();
+        let answer = match lists {
+            Ok(lists) => {
+                for list in lists.iter().filter(|list| list.cluster == FLEET) {
+                    self.core.listed(now(), list);
+                }
+                self.list.accept(&update)
+            }
+            Err(status) => {
+                tracing::warn!(%status, version = update.version, "the list is turned down");
+                self.list.turn_down(&update, status.text)
+            }
+        };
+        self.hub.send(conn, stream, &answer);
+        if !self.listening {
+            // Asked for once.
+            self.calls.remove(&(conn, stream));
+            self.hub.close(conn, false);
+            self.registry = None;
+        }
+    }
+
+    fn probe(&mut self, server: ServerId, address: std::net::SocketAddr) {
+        let called = self.hub.dial(address).ok().and_then(|conn| {
+            let stream = self.hub.call(conn, HEALTH, None)?;
+            self.hub.send(conn, stream, &[]);
+            self.hub.finish(conn, stream, Status::OK);
+            Some((conn, stream))
+        });
+        let Some((conn, stream)) = called else {
+            return self.core.probed(server, ProbeEnding::Unreachable, 0);
+        };
+        self.calls.insert((conn, stream), Call::Probe(server));
+        self.probes.insert(conn, (server, now()));
+        self.hub.set(now() + self.deployment.facts.report_cycle, Key::ProbeLate(conn));
+    }
+
+    fn probe_over(&mut self, conn: ConnId, server: ServerId, ending: ProbeEnding) {
+        if let Some((_, begun)) = self.probes.remove(&conn) {
+            self.calls.retain(|(of, _), _| *of != conn);
+            self.hub.close(conn, false);
+            self.core.probed(server, ending, now() - begun);
+        }
+    }
+
+    /// Ends all streams with a status, so that proxies dial another supervisor at once.
+    fn part(&mut self) {
+        for (conn, stream) in std::mem::take(&mut self.peers).into_values() {
+            self.hub.finish(conn, stream, Status::new(Code::Unavailable, "this supervisor stops"));
+        }
+        let _ = self.hub.wait(Some(now()));
+        let (most, _) = self.core.backlog();
+        tracing::info!(most_lines_waiting = most, "stopped");
+    }
+}
+
+/// Written whole beside the old one, then renamed.
+fn keep(folder: &Path, list: &[u8]) -> std::io::Result<()> {
+    let fresh = folder.join(format!("{KEPT}.new"));
+    let mut file = fs::File::create(&fresh)?;
+    file.write_all(list)?;
+    fs::rename(fresh, folder.join(KEPT))
+}
--- /dev/null
+++ b/crates/supervisor/src/deployment.rs
@@ -0,0 +1,369 @@
+//! The deployment's file: TOML in, startup facts and addresses out. Unknown or missing keys, wrong units and
+//! figures out of range are refused with file, line, key and remedy.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+use shalereel::interface::{
+    Admission, Effect, ListedSize, LoadColumn, LoadSource, Nanos, Operation, RepeatScope, StartupFacts,
+};
+use thiserror::Error;
+
+#[derive(Debug, Error)]
+pub enum DeploymentError {
+    #[error("{file}: cannot be read: {error}")]
+    Unreadable { file: PathBuf, error: std::io::Error },
+    #[error("{file}: {error}")]
+    Malformed { file: PathBuf, error: Box<toml::de::Error> },
+    #[error("{file}:{line}: {key}: {problem}; {remedy}")]
+    Refused { file: PathBuf, line: usize, key: String, problem: String, remedy: String },
+}
+
+/// What the file says, as it stands there. Times are milliseconds.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    listen: SocketAddr,
+    registry: SocketAddr,
+    folder: PathBuf,
+    #[serde(default)]
+    seed: u64,
+    supervisor: u16,
+    supervisors: u16,
+    locality: String,
+    localities: Vec<String>,
+    tick_ms: f64,
+    #[serde(rename = "operation")]
+    operations: Vec<OperationFile>,
+    list: ListFile,
+    forwarders: ForwardersFile,
+    channel: ChannelFile,
+    rules: RulesFile,
+    planted: Option<Planted>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OperationFile {
+    name: String,
+    effect: EffectFile,
+    #[serde(default)]
+    repeat_scope: ScopeFile,
+    #[serde(default)]
+    repeat_window_ms: f64,
+    latency_objective_ms: f64,
+    integration_timeout_ms: f64,
+    billed_value: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum EffectFile {
+    Idempotent,
+    Fingerprinted,
+    SideEffecting,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum ScopeFile {
+    Everywhere,
+    Locality,
+    #[default]
+    Cell,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ListFile {
+    membership: MembershipFile,
+    #[serde(default)]
+    ask_every_ms: f64,
+    sizes: SizesFile,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum MembershipFile {
+    Pushed,
+    Asked,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum SizesFile {
+    Untold,
+    Rough,
+    Nominal,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ForwardersFile {
+    count: u32,
+    admission: AdmissionFile,
+    report_cycle_ms: f64,
+    #[serde(default)]
+    fails_to_avoid: u32,
+    first_wait: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum AdmissionFile {
+    Ignored,
+    Ratio,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ChannelFile {
+    lines_per_s: f64,
+    backlog: f64,
+    message_overhead: f64,
+    mean_transit_ms: f64,
+    worst_transit_ms: f64,
+    #[serde(default)]
+    messages_max: u32,
+    #[serde(default)]
+    messages_over_ms: f64,
+    paced: bool,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RulesFile {
+    empty_for_ms: f64,
+    drain_grace_ms: f64,
+    cold_from: f64,
+    cold_for_ms: f64,
+    tip_multiple: f64,
+    tip_after_ms: f64,
+    #[serde(default)]
+    gone_does_not_bind: bool,
+}
+
+/// A fault put into a supervisor on purpose, to show that a judge of traffic can find it. Never in service.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Planted {
+    /// Servers that drain keep their lines.
+    DropSuspensions,
+    /// Any failure is tried again, twice.
+    RepeatAll,
+    /// Cold servers get the weight of many.
+    ColdInFull,
+    /// Every line is written again and again.
+    Flood,
+    /// Tables go out with no line.
+    EmptyTables,
+}
+
+/// What a supervisor needs to run.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub listen: SocketAddr,
+    pub registry: SocketAddr,
+    /// Where the last list is kept.
+    pub folder: PathBuf,
+    /// Batches are at least so far apart.
+    pub tick: Nanos,
+    pub operations: Vec<String>,
+    pub localities: Vec<String>,
+    /// Does the channel keep to its pace? Off only to measure what the rest costs.
+    pub paced: bool,
+    pub facts: StartupFacts,
+    pub planted: Option<Planted>,
+}
+
+struct Checker<'a> {
+    file: &'a Path,
+    text: &'a str,
+}
+
+impl Checker<'_> {
+    /// The line on which a key of a section stands; sections that come again are counted from 0.
+    fn line(&self, section: &str, at: usize, key: &str) -> usize {
+        let (mut here, mut seen) = (section.is_empty(), 0);
+        for (number, line) in self.text.lines().enumerate() {
+            let line = line.trim();
+            if line.starts_with('[') {
+                let named = line.trim_matches(|letter| letter == '[' || letter == ']') == section;
+                here = named && seen == at;
+                seen += usize::from(named);
+            } else if here && line.split('=').next().is_some_and(|name| name.trim() == key) {
+                return number + 1;
+            }
+        }
+        1
+    }
+
+    fn refuse(
+        &self,
+        (section, at, key): (&str, usize, &str),
+        problem: String,
+        remedy: &str,
+    ) -> DeploymentError {
+        DeploymentError::Refused {
+            file: self.file.to_owned(),
+            line: self.line(section, at, key),
+            key: if section.is_empty() { key.to_owned() } else { format!("{section}.{key}") },
+            problem,
+            remedy: remedy.to_owned(),
+        }
+    }
+
+    fn within(
+        &self,
+        place: (&str, usize, &str),
+        value: f64,
+        (least, most): (f64, f64),
+    ) -> Result<f64, DeploymentError> {
+        if value.is_finite() && (least..=most).contains(&value) {
+            return Ok(value);
+        }
+        let remedy = format!("give a number from {least} to {most}");
+        Err(self.refuse(place, format!("{value} is out of range"), &remedy))
+    }
+
+    fn span(&self, place: (&str, usize, &str), ms: f64, least: f64) -> Result<Nanos, DeploymentError> {
+        Ok((self.within(place, ms, (least, 86_400_000.0))? * 1e6).round() as Nanos)
+    }
+}
+
+impl Deployment {
+    /// Reads and checks a file.
+    pub fn read(file: &Path) -> Result<Self, DeploymentError> {
+        let text = fs::read_to_string(file)
+            .map_err(|error| DeploymentError::Unreadable { file: file.to_owned(), error })?;
+        Deployment::parse(file, &text)
+    }
+
+    /// `file` is only named in errors.
+    pub fn parse(file: &Path, text: &str) -> Result<Self, DeploymentError> {
+        let told: File = toml::from_str(text)
+            .map_err(|error| DeploymentError::Malformed { file: file.to_owned(), error: Box::new(error) })?;
+        let check = Checker { file, text };
+        for (key, address) in [("listen", told.listen), ("registry", told.registry)] {
+            if !address.ip().is_loopback() {
+                let problem = format!("{address} is not a loopback address");
+                return Err(check.refuse(("", 0, key), problem, "use 127.0.0.0/8 or [::1]"));
+            }
+        }
+        let Some(locality) = told.localities.iter().position(|name| *name == told.locality) else {
+            let problem = format!("{:?} is not one of the localities", told.locality);
+            return Err(check.refuse(("", 0, "locality"), problem, "name one of `localities`"));
+        };
+        if told.supervisor >= told.supervisors {
+            let problem = format!("number {} of {} supervisors", told.supervisor, told.supervisors);
+            return Err(check.refuse(("", 0, "supervisor"), problem, "count from 0"));
+        }
+        if told.operations.is_empty() || told.operations.len() > 16 {
+            let problem = format!("{} operations", told.operations.len());
+            return Err(check.refuse(("operation", 0, "name"), problem, "give 1 to 16 of them"));
+        }
+        let mut names = BTreeSet::new();
+        let mut operations = Vec::new();
+        for (at, operation) in told.operations.iter().enumerate() {
+            let place = |key| ("operation", at, key);
+            let plain = |letter: char| letter.is_ascii_alphanumeric() || "-_.".contains(letter);
+            if operation.name.is_empty() || !operation.name.chars().all(plain) {
+                let problem = format!("{:?} is no plain name", operation.name);
+                return Err(check.refuse(place("name"), problem, "use letters, digits, '-', '_' and '.'"));
+            }
+            if !names.insert(&operation.name) {
+                let problem = format!("{:?} comes twice", operation.name);
+                return Err(check.refuse(place("name"), problem, "give each operation a name of its own"));
+            }
+            let latency_objective =
+                check.span(place("latency_objective_ms"), operation.latency_objective_ms, 1.0)?;
+            operations.push(Operation {
+                effect: match operation.effect {
+                    EffectFile::Idempotent => Effect::Idempotent,
+                    EffectFile::Fingerprinted => Effect::Fingerprinted,
+                    EffectFile::SideEffecting => Effect::SideEffecting,
+                },
+                repeat_scope: match operation.repeat_scope {
+                    ScopeFile::Everywhere => RepeatScope::Everywhere,
+                    ScopeFile::Locality => RepeatScope::Locality,
+                    ScopeFile::Cell => RepeatScope::Cell,
+                },
+                repeat_window: check.span(place("repeat_window_ms"), operation.repeat_window_ms, 0.0)?,
+                latency_objective,
+                integration_timeout: check.span(
+                    place("integration_timeout_ms"),
+                    operation.integration_timeout_ms,
+                    operation.latency_objective_ms,
+                )?,
+                billed_value: check.within(place("billed_value"), operation.billed_value, (0.0, 1e6))?,
+                home_only: false,
+                writes: !matches!(operation.effect, EffectFile::Idempotent),
+            });
+        }
+        let (channel, rules, forwarders) = (&told.channel, &told.rules, &told.forwarders);
+        let at = |key| ("channel", 0, key);
+        let rule = |key| ("rules", 0, key);
+        let proxy = |key| ("forwarders", 0, key);
+        let overhead = check.within(at("message_overhead"), channel.message_overhead, (0.0, 1e6))?;
+        let worst_transit = check.span(at("worst_transit_ms"), channel.worst_transit_ms, 0.0)?;
+        let facts = StartupFacts {
+            seed: told.seed,
+            supervisor: told.supervisor,
+            supervisors: told.supervisors,
+            locality: locality as u16,
+            localities: told.localities.len() as u16,
+            operations,
+            membership_on_request: matches!(told.list.membership, MembershipFile::Asked),
+            admission: match forwarders.admission {
+                AdmissionFile::Ignored => Admission::Ignored,
+                AdmissionFile::Ratio => Admission::Ratio,
+            },
+            load_source: LoadSource::Digest,
+            load_columns: vec![LoadColumn::Cpu],
+            probes_allowed: true,
+            listed_size: match told.list.sizes {
+                SizesFile::Untold => ListedSize::Untold,
+                SizesFile::Rough => ListedSize::Rough,
+                SizesFile::Nominal => ListedSize::Nominal,
+            },
+            proxies: check.within(proxy("count"), forwarders.count.into(), (1.0, 60_000.0))? as u32,
+            backlog: check.within(at("backlog"), channel.backlog, (overhead + 2.0, 1e9))?,
+            lines_per_s: check.within(at("lines_per_s"), channel.lines_per_s, (1.0, 1e9))?,
+            message_overhead: overhead,
+            report_cycle: check.span(proxy("report_cycle_ms"), forwarders.report_cycle_ms, 10.0)?,
+            empty_for: check.span(rule("empty_for_ms"), rules.empty_for_ms, 0.0)?,
+            first_wait: check.within(proxy("first_wait"), forwarders.first_wait, (0.0, 100.0))?,
+            fails_to_avoid: forwarders.fails_to_avoid,
+            slices: 0,
+            sole_owner: false,
+            tenure: 0,
+            in_flight_max: 0,
+            mean_transit: check.span(at("mean_transit_ms"), channel.mean_transit_ms, 0.0)?,
+            worst_transit,
+            messages_max: channel.messages_max,
+            messages_over: check.span(at("messages_over_ms"), channel.messages_over_ms, 0.0)?,
+            retry_default: 0,
+            ask_every: check.span(("list", 0, "ask_every_ms"), told.list.ask_every_ms, 0.0)?,
+            cold_from: check.within(rule("cold_from"), rules.cold_from, (0.001, 1.0))?,
+            cold_for: check.span(rule("cold_for_ms"), rules.cold_for_ms, 0.0)?,
+            tip_multiple: check.within(rule("tip_multiple"), rules.tip_multiple, (1.0, 1e6))?,
+            tip_after: check.span(rule("tip_after_ms"), rules.tip_after_ms, 0.0)?,
+            drain_grace: check.span(rule("drain_grace_ms"), rules.drain_grace_ms, 0.0)?,
+            gone_does_not_bind: rules.gone_does_not_bind,
+        };
+        Ok(Deployment {
+            listen: told.listen,
+            registry: told.registry,
+            folder: told.folder,
+            tick: check.span(("", 0, "tick_ms"), told.tick_ms, 0.0)?,
+            operations: told.operations.into_iter().map(|operation| operation.name).collect(),
+            localities: told.localities,
+            paced: told.channel.paced,
+            facts,
+            planted: told.planted,
+        })
+    }
+}
--- a/crates/supervisor/src/lib.rs
+++ b/crates/supervisor/src/lib.rs
@@ -1,1 +1,17 @@
+//! The running supervisor. [`Core`] is all of it but the sockets; [`run`] is the daemon.
 
+mod channel;
+mod core;
+pub mod daemon;
+mod deployment;
+mod reports;
+mod roster;
+mod tables;
+
+pub use crate::core::{Core, Effect, Peer, LISTENER, PREFIX};
+pub use channel::{Channel, Departure, Patience, Verdict};
+pub use daemon::run;
+pub use deployment::{Deployment, DeploymentError, Planted};
+pub use reports::Reports;
+pub use roster::Roster;
+pub use tables::{Reach, Tables};
--- /dev/null
+++ b/crates/supervisor/src/roster.rs
@@ -0,0 +1,141 @@
+//! The registry's list: what it says as events, and where each server is. Nothing is decided here.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use shalereel::interface::{Nanos, Readiness, RosterNews, RosterRow, ServerId};
+use shalereel_xds::{Assignment, Health};
+
+/// Where a server is, and its last start.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Place {
+    pub address: SocketAddr,
+    pub zone: String,
+    incarnation: u64,
+    ready_at: Nanos,
+    kind: u16,
+    cell: u16,
+    weight: f64,
+    draining: bool,
+    listed: bool,
+}
+
+/// The list as last heard; also what is kept over a restart.
+#[derive(Debug, Default)]
+pub struct Roster {
+    places: BTreeMap<ServerId, Place>,
+    by_address: BTreeMap<SocketAddr, ServerId>,
+    localities: Vec<String>,
+    version: u64,
+}
+
+impl Roster {
+    pub fn new(localities: &[String]) -> Self {
+        Roster { localities: localities.to_vec(), ..Roster::default() }
+    }
+
+    /// Takes a whole list. Rows without facts or of an unknown zone are left out and named in `odd`.
+    pub fn hear(&mut self, now: Nanos, list: &Assignment, odd: &mut Vec<String>) -> RosterNews {
+        let mut present = BTreeSet::new();
+        for row in &list.rows {
+            let known = self.localities.contains(&row.zone);
+            let Some(facts) = row.facts.filter(|_| known) else {
+                let lacks = if known { "metadata of a server" } else { "a known zone" };
+                odd.push(format!("{} has no {lacks}", row.address));
+                continue;
+            };
+            // An age told twice for one start would differ by its travelling time.
+            let before =
+                self.places.get(&facts.server).filter(|place| place.incarnation == facts.incarnation);
+            let ready_at = match (before, facts.age) {
+                (Some(place), _) => place.ready_at,
+                (None, Some(age)) => now.saturating_sub(age),
+                (None, None) => 0,
+            };
+            present.insert(facts.server);
+            let place = Place {
+                address: row.address,
+                zone: row.zone.clone(),
+                incarnation: facts.incarnation,
+                ready_at,
+                kind: facts.kind,
+                cell: facts.cell,
+                weight: row.weight,
+                draining: row.health == Health::Draining,
+                listed: row.health != Health::Unhealthy,
+            };
+            self.settle(facts.server, place);
+        }
+        for (_, place) in self.places.iter_mut().filter(|(server, _)| !present.contains(server)) {
+            place.listed = false;
+        }
+        RosterNews::Full(self.rows())
+    }
+
+    fn settle(&mut self, server: ServerId, place: Place) {
+        let moved = self.places.get(&server).is_none_or(|old| old.address != place.address);
+        if moved {
+            self.version += 1;
+            self.by_address.insert(place.address, server);
+        }
+        self.places.insert(server, place);
+    }
+
+    fn rows(&self) -> Vec<RosterRow> {
+        let listed = self.places.iter().filter(|(_, place)| place.listed);
+        listed
+            .map(|(&server, place)| RosterRow {
+                server,
+                locality: self.locality(&place.zone).unwrap_or(0),
+                kind: place.kind,
+                cell: place.cell,
+                readiness: if place.draining { Readiness::Draining } else { Readiness::Ready },
+                weight: place.weight,
+                ready_at: place.ready_at,
+            })
+            .collect()
+    }
+
+    pub fn locality(&self, zone: &str) -> Option<u16> {
+        self.localities.iter().position(|name| name == zone).map(|at| at as u16)
+    }
+
+    pub fn place(&self, server: ServerId) -> Option<&Place> {
+        self.places.get(&server)
+    }
+
+    pub fn server_at(&self, address: SocketAddr) -> Option<ServerId> {
+        self.by_address.get(&address).copied()
+    }
+
+    pub fn draining(&self, server: ServerId) -> bool {
+        self.places.get(&server).is_none_or(|place| place.draining || !place.listed)
+    }
+
+    /// Did it start less than `span` ago?
+    pub fn started_within(&self, server: ServerId, now: Nanos, span: Nanos) -> bool {
+        let young = |place: &Place| place.ready_at > 0 && now.saturating_sub(place.ready_at) < span;
+        self.places.get(&server).is_some_and(young)
+    }
+
+    /// Grows whenever a server is met at another address.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The list as text, to be kept.
+    pub fn remember(&self) -> Vec<u8> {
+        serde_json::to_vec(&self.places).unwrap_or_default()
+    }
+
+    /// The list as kept by an earlier run. A start in the future of this clock is a start just now.
+    pub fn recall(&mut self, now: Nanos, kept: &[u8]) -> Result<RosterNews, serde_json::Error> {
+        let places: BTreeMap<ServerId, Place> = serde_json::from_slice(kept)?;
+        for (server, mut place) in places {
+            place.ready_at = place.ready_at.min(now);
+            self.settle(server, place);
+        }
+        Ok(RosterNews::Cached(self.rows()))
+    }
+}
