--- a/crates/cli/src/daemon.rs
+++ b/crates/cli/src/daemon.rs
@@ -1,1 +1,21 @@
-fn main() {}
+//! `shalereeld`: one supervisor.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+mod daemon_command;
+
+#[derive(Parser)]
+#[command(name = "shalereeld", version, about = "Supervisor: decides and publishes tables over gRPC")]
+struct Arguments {
+    #[command(flatten)]
+    daemon: daemon_command::DaemonArguments,
+}
+
+fn main() -> ExitCode {
+    daemon_command::daemon(&Arguments::parse().daemon).unwrap_or_else(|error| {
+        eprintln!("shalereeld: {error:#}");
+        ExitCode::from(2)
+    })
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,1 +1,54 @@
-fn main() {}
+//! `shalereel`: plays drills, measures, and runs any part of the program.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+mod daemon_command;
+mod drill_command;
+
+#[derive(Parser)]
+#[command(version, about = "Control service: tells plain forwarders by weighted tables where work goes")]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Play a day from a script on real sockets, and judge its traffic. Exit 1: a rule broke or service was
+    /// missed; 2: the file is bad.
+    Drill {
+        /// The day, as `docs/drills.md` describes it.
+        file: PathBuf,
+        /// Print the verdict as JSON.
+        #[arg(long)]
+        json: bool,
+        /// Keep traces and logs in this folder.
+        #[arg(long)]
+        keep: Option<PathBuf>,
+    },
+    /// Run a supervisor; the same as `shalereeld`.
+    Daemon(daemon_command::DaemonArguments),
+    /// Play one stand-in, told by lines of JSON on the input.
+    StandIn {
+        /// servers, forwarders, callers or registry
+        role: String,
+    },
+}
+
+fn main() -> ExitCode {
+    let failed = |error: anyhow::Error| {
+        eprintln!("shalereel: {error:#}");
+        ExitCode::from(2)
+    };
+    match Arguments::parse().command {
+        Command::Drill { file, json, keep } => drill_command::drill(&file, json, keep).unwrap_or_else(failed),
+        Command::Daemon(arguments) => daemon_command::daemon(&arguments).unwrap_or_else(failed),
+        Command::StandIn { role } => match shalereel_standins::run(&role) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => failed(error),
+        },
+    }
+}
--- /dev/null
+++ b/crates/drill/src/judge.rs
@@ -0,0 +1,499 @@
+//! The judge: sees traffic and times at forwarders, servers, callers and the registry, never a supervisor's word.
+//! (Of a table it sees the stamp of its order, without which nobody could tell from outside what waited.)
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Serialize;
+use shalereel::interface::Nanos;
+use shalereel_reactor::SECOND;
+use shalereel_standins::{Outcome, Seen, WhichEffect};
+
+use crate::day::{nanos, Day};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rule {
+    LineToPick,
+    NoEffectTwice,
+    DrainsKept,
+    NoColdServerPushedOver,
+    ShortQueue,
+}
+
+/// One time that a rule was broken, with the invocations that prove it.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Breach {
+    pub at_s: f64,
+    pub what: String,
+    pub invocations: Vec<u64>,
+}
+
+/// How near a rule came to its limit, 1 being the limit, and each time that it was broken.
+#[derive(Clone, Debug, Serialize)]
+pub struct Measure {
+    pub rule: Rule,
+    pub limit: String,
+    pub nearest: f64,
+    pub breaches: Vec<Breach>,
+}
+
+/// Service by operation over some seconds; nothing where nothing was asked for.
+#[derive(Clone, Debug, Serialize)]
+pub struct Window {
+    pub from_s: f64,
+    pub service: BTreeMap<String, f64>,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Verdict {
+    pub title: String,
+    pub service: f64,
+    pub expected: f64,
+    pub operations: BTreeMap<String, f64>,
+    /// What was expected and not reached.
+    pub missed: Vec<String>,
+    pub windows: Vec<Window>,
+    pub rules: Vec<Measure>,
+    pub asked: usize,
+    pub tries: usize,
+    pub remarks: Vec<String>,
+}
+
+impl Verdict {
+    pub fn broken(&self) -> impl Iterator<Item = &Measure> {
+        self.rules.iter().filter(|measure| !measure.breaches.is_empty())
+    }
+
+    /// All rules kept and all that was expected reached?
+    pub fn stands(&self) -> bool {
+        self.broken().next().is_none() && self.missed.is_empty()
+    }
+}
+
+/// A stretch of time, open at its end.
+type Span = (Nanos, Nanos);
+
+/// The list as a supervisor knew it from a time on.
+struct Known<'a> {
+    /// When it was said, and when the supervisor acknowledged it, which is a moment after its first orders.
+    said: Nanos,
+    from: Nanos,
+    ready: &'a [(u32, u64, Nanos)],
+    draining: &'a [u32],
+    gone: &'a [u32],
+}
+
+struct Scene<'a> {
+    day: &'a Day,
+    start: Nanos,
+    end: Nanos,
+    /// By forwarder: to which supervisor it was joined, and when.
+    joined: BTreeMap<u32, Vec<(u32, Span)>>,
+    /// By forwarder: when it did not read what it was told.
+    deaf: BTreeMap<u32, Vec<Span>>,
+    known: BTreeMap<u32, Vec<Known<'a>>>,
+}
+
+fn spans(mut events: Vec<(Nanos, bool)>, end: Nanos) -> Vec<Span> {
+    events.sort_by_key(|event| event.0);
+    let (mut found, mut since) = (Vec::new(), None);
+    for (at, on) in events {
+        match (on, since) {
+            (true, None) => since = Some(at),
+            (false, Some(from)) => {
+                found.push((from, at));
+                since = None;
+            }
+            _ => {}
+        }
+    }
+    found.extend(since.map(|from| (from, end)));
+    found
+}
+
+impl<'a> Scene<'a> {
+    fn new(day: &'a Day, (start, end): Span, seen: &'a [Seen]) -> Self {
+        let far = end + 3600 * SECOND;
+        let mut joined: BTreeMap<u32, Vec<(u32, Span)>> = BTreeMap::new();
+        let mut deaf: BTreeMap<u32, Vec<(Nanos, bool)>> = BTreeMap::new();
+        let mut known: BTreeMap<u32, Vec<Known>> = BTreeMap::new();
+        let mut said: BTreeMap<(&str, u64), &Seen> = BTreeMap::new();
+        for one in seen {
+            match one {
+                Seen::Joined { at, forwarder, supervisor } => {
+                    joined.entry(*forwarder).or_default().push((*supervisor, (*at, far)));
+                }
+                Seen::Left { at, forwarder } | Seen::Died { at, forwarder } => {
+                    let last = joined.get_mut(forwarder).and_then(|spans| spans.last_mut());
+                    if let Some((_, span)) = last {
+                        span.1 = span.1.min(*at);
+                    }
+                }
+                Seen::Reachable { at, forwarder, on } => deaf.entry(*forwarder).or_default().push((*at, !on)),
+                Seen::Said { to, version, .. } => drop(said.insert((to, *version), one)),
+                Seen::Acknowledged { at, to, version } => {
+                    let number = to.rsplit('-').next().and_then(|number| number.parse().ok());
+                    if let (Some(number), Some(Seen::Said { at: said, ready, draining, gone, .. })) =
+                        (number, said.get(&(to.as_str(), *version)))
+                    {
+                        known.entry(number).or_default().push(Known {
+                            said: *said,
+                            from: *at,
+                            ready,
+                            draining,
+                            gone,
+                        });
+                    }
+                }
+                _ => {}
+            }
+        }
+        let deaf = deaf.into_iter().map(|(forwarder, events)| (forwarder, spans(events, far))).collect();
+        Scene { day, start, end, joined, deaf, known }
+    }
+
+    fn seconds(&self, at: Nanos) -> f64 {
+        (at.saturating_sub(self.start) as f64 / SECOND as f64 * 100.0).round() / 100.0
+    }
+
+    fn joined_at(&self, forwarder: u32, at: Nanos) -> Option<(u32, Span)> {
+        let spans = self.joined.get(&forwarder)?;
+        spans.iter().rev().find(|(_, span)| span.0 <= at && at < span.1).copied()
+    }
+
+    /// Since when a forwarder could be reached without a break, as of `at`.
+    fn reachable_since(&self, forwarder: u32, at: Nanos) -> Nanos {
+        let deaf = self.deaf.get(&forwarder).map_or(&[][..], Vec::as_slice);
+        deaf.iter().filter(|span| span.0 <= at).map(|span| span.1.min(at)).max().unwrap_or(0)
+    }
+
+    fn list_at(&self, supervisor: u32, at: Nanos) -> Option<&Known<'a>> {
+        self.known.get(&supervisor)?.iter().rev().find(|known| known.from <= at)
+    }
+
+    fn warm_at(&self, supervisor: u32, at: Nanos) -> bool {
+        let cold_for = nanos(self.day.cold_for_s() * 1e3);
+        let warm = |row: &(u32, u64, Nanos)| row.2 == 0 || row.2 + cold_for <= at;
+        self.list_at(supervisor, at).is_some_and(|known| known.ready.iter().any(warm))
+    }
+
+    /// A joined forwarder is never without a line for longer than the stated time, while a warm server is listed.
+    fn line_to_pick(&self, seen: &[Seen]) -> Measure {
+        let limit = nanos(self.day.rules.empty_for_s * 1e3);
+        let mut bare: BTreeMap<(u32, u16), Vec<(Nanos, bool)>> = BTreeMap::new();
+        for one in seen {
+            match one {
+                Seen::Bare { at, forwarder, operation, on } => {
+                    bare.entry((*forwarder, *operation)).or_default().push((*at, *on));
+                }
+                // What comes back has a standing table.
+                Seen::Died { at, forwarder } => {
+                    for (_, events) in bare.range_mut((*forwarder, 0)..=(*forwarder, u16::MAX)) {
+                        events.push((*at, false));
+                    }
+                }
+                _ => {}
+            }
+        }
+        let (mut nearest, mut breaches) = (0.0_f64, Vec::new());
+        for ((forwarder, operation), events) in bare {
+            for (from, to) in spans(events, self.end) {
+                for (supervisor, joined) in self.joined.get(&forwarder).into_iter().flatten() {
+                    let end = to.min(joined.1).min(self.end);
+                    let begin = from.max(joined.0).max(self.reachable_since(forwarder, end));
+                    if begin >= end || !self.warm_at(*supervisor, begin) || !self.warm_at(*supervisor, end) {
+                        continue;
+                    }
+                    let part = (end - begin) as f64 / limit as f64;
+                    nearest = nearest.max(part);
+                    if part > 1.0 {
+                        let name = &self.day.operations[usize::from(operation)].name;
+                        let span = (end - begin) as f64 / SECOND as f64;
+                        breaches.push(Breach {
+                            at_s: self.seconds(begin),
+                            what: format!("forwarder {forwarder} had no line for {name} for {span:.2} s"),
+                            invocations: Vec::new(),
+                        });
+                    }
+                }
+            }
+        }
+        let limit = format!("{} s without a line", self.day.rules.empty_for_s);
+        Measure { rule: Rule::LineToPick, limit, nearest, breaches }
+    }
+
+    /// Repeats by forwarders, that is within one try of a caller, take effect once.
+    fn no_effect_twice(&self, seen: &[Seen]) -> Measure {
+        // When, where, and in which try of its forwarder.
+        type EffectSeen = (Nanos, u32, u32);
+        let mut effects: BTreeMap<(u64, u32), Vec<EffectSeen>> = BTreeMap::new();
+        for one in seen {
+            if let Seen::Effect { at, server, operation, inv, attempt, further, .. } = one {
+                if self.day.operations[usize::from(*operation)].effect != WhichEffect::Idempotent {
+                    effects.entry((*inv, *attempt)).or_default().push((*at, *server, *further));
+                }
+            }
+        }
+        let twice = effects.into_iter().filter(|(_, effects)| effects.len() > 1);
+        let breaches: Vec<Breach> = twice
+            .map(|((inv, _), effects)| Breach {
+                at_s: self.seconds(effects[1].0),
+                what: format!(
+                    "took effect {} times: at {}",
+                    effects.len(),
+                    effects
+                        .iter()
+                        .map(|e| format!("server {} (try {})", e.1, e.2))
+                        .collect::<Vec<_>>()
+                        .join(", ")
+                ),
+                invocations: vec![inv],
+            })
+            .collect();
+        let nearest = if breaches.is_empty() { 0.0 } else { 2.0 };
+        Measure { rule: Rule::NoEffectTwice, limit: "one effect".into(), nearest, breaches }
+    }
+
+    /// When a supervisor knew a server as one that nothing may go to.
+    fn bound(&self, supervisor: u32) -> BTreeMap<u32, Vec<Span>> {
+        let mut found: BTreeMap<u32, Vec<Span>> = BTreeMap::new();
+        let mut open: BTreeMap<u32, Nanos> = BTreeMap::new();
+        for known in self.known.get(&supervisor).into_iter().flatten() {
+            let gone = if self.day.rules.gone_does_not_bind { &[][..] } else { known.gone };
+            let now_bound: BTreeSet<u32> = known.draining.iter().chain(gone).copied().collect();
+            let ready: BTreeSet<u32> = known.ready.iter().map(|row| row.0).collect();
+            for server in now_bound {
+                open.entry(server).or_insert(known.from);
+            }
+            for server in ready {
+                if let Some(from) = open.remove(&server) {
+                    found.entry(server).or_default().push((from, known.from));
+                }
+            }
+        }
+        for (server, from) in open {
+            found.entry(server).or_default().push((from, Nanos::MAX));
+        }
+        found
+    }
+
+    /// Within the grace nothing goes to a server known as draining or gone.
+    fn drains_kept(&self, seen: &[Seen]) -> Measure {
+        let grace = nanos(self.day.rules.drain_grace_s * 1e3);
+        let bound: BTreeMap<u32, BTreeMap<u32, Vec<Span>>> =
+            self.known.keys().map(|&supervisor| (supervisor, self.bound(supervisor))).collect();
+        let mut nearest = 0.0_f64;
+        // By supervisor, forwarder and server: the first time, and the invocations.
+        let mut late: BTreeMap<_, (Nanos, Vec<u64>)> = BTreeMap::new();
+        for one in seen {
+            let Seen::Tried { at, forwarder, server, inv, .. } = one else { continue };
+            let Some((supervisor, joined)) = self.joined_at(*forwarder, *at) else { continue };
+            let spans = bound.get(&supervisor).and_then(|servers| servers.get(server));
+            let Some(span) = spans.into_iter().flatten().find(|span| span.0 <= *at && *at < span.1) else {
+                continue;
+            };
+            let since = span.0.max(joined.0).max(self.reachable_since(*forwarder, *at));
+            let part = (at - since) as f64 / grace as f64;
+            nearest = nearest.max(part);
+            if part > 1.0 {
+                let entry = late.entry((supervisor, *forwarder, *server)).or_insert((*at, Vec::new()));
+                entry.1.push(*inv);
+            }
+        }
+        let breaches = late.into_iter().map(|((supervisor, forwarder, server), (at, invocations))| Breach {
+            at_s: self.seconds(at),
+            what: format!(
+                "forwarder {forwarder} of supervisor {supervisor} still sends to server {server}, which drains or is gone"
+            ),
+            invocations,
+        });
+        let limit = format!("{} s after it was told", self.day.rules.drain_grace_s);
+        Measure { rule: Rule::DrainsKept, limit, nearest, breaches: breaches.collect() }
+    }
+
+    /// Has a forwarder's supervisor had its say about this start?
+    fn answers_for(
+        &self,
+        told: &BTreeMap<u32, Vec<Nanos>>,
+        forwarder: u32,
+        at: Nanos,
+        start: (u32, u64),
+    ) -> bool {
+        let Some((supervisor, _)) = self.joined_at(forwarder, at) else { return false };
+        let lists = |known: &&Known| known.ready.iter().any(|row| (row.0, row.1) == start);
+        let Some(known) = self.known.get(&supervisor).and_then(|known| known.iter().find(lists)) else {
+            return false;
+        };
+        let spoken = told
+            .get(&forwarder)
+            .is_some_and(|told| told.iter().any(|&said| known.said <= said && said <= at));
+        spoken || known.from + nanos(self.day.rules.drain_grace_s * 1e3) <= at
+    }
+
+    /// A cold server gets less than the stated multiple of what it can do, over the stated time.
+    fn no_cold_server_pushed_over(&self, seen: &[Seen]) -> Measure {
+        let (window, multiple) = (nanos(self.day.rules.tip_after_s * 1e3), self.day.rules.tip_multiple);
+        let mut told: BTreeMap<u32, Vec<Nanos>> = BTreeMap::new();
+        // When, how much work, from whom, which invocation, and the capacity at that moment.
+        type Arrival = (Nanos, f64, u32, u64, f64);
+        let mut sent: BTreeMap<(u32, u64), Vec<Arrival>> = BTreeMap::new();
+        for one in seen {
+            match one {
+                Seen::Told { forwarder, ordered, .. } => told.entry(*forwarder).or_default().push(*ordered),
+                Seen::Arrived {
+                    at, server, incarnation, inv, forwarder, work, capacity, cold: true, ..
+                } => {
+                    let arrivals = sent.entry((*server, *incarnation)).or_default();
+                    arrivals.push((*at, *work as f64, *forwarder, *inv, *capacity));
+                }
+                _ => {}
+            }
+        }
+        let (mut nearest, mut breaches) = (0.0_f64, Vec::new());
+        for (start, arrivals) in sent {
+            let mut from = 0;
+            let mut sum = 0.0;
+            for (to, &(at, work, _, _, capacity)) in arrivals.iter().enumerate() {
+                sum += work;
+                while arrivals[from].0 + window < at {
+                    sum -= arrivals[from].1;
+                    from += 1;
+                }
+                let part = sum / (multiple * capacity * window as f64);
+                if part <= nearest.min(1.0) {
+                    continue;
+                }
+                let within = &arrivals[from..=to];
+                let ours = within.iter().filter(|a| self.answers_for(&told, a.2, a.0, start));
+                let blamed: f64 = ours.map(|a| a.1).sum();
+                // What comes from forwarders that could not know of the start is nobody's order.
+                if part <= 1.0 || blamed >= sum * 2.0 / 3.0 {
+                    nearest = nearest.max(part);
+                }
+                if part > 1.0 && blamed >= sum * 2.0 / 3.0 {
+                    breaches.push(Breach {
+                        at_s: self.seconds(at),
+                        what: format!("server {} was sent {part:.2} times what pushes it over", start.0),
+                        invocations: within.iter().map(|a| a.3).collect(),
+                    });
+                    break;
+                }
+            }
+        }
+        let limit = format!("{multiple} times its capacity for {} s", self.day.rules.tip_after_s);
+        Measure { rule: Rule::NoColdServerPushedOver, limit, nearest, breaches }
+    }
+
+    /// What was ordered and could not have left at the told pace waited; messages a forwarder where limited.
+    fn short_queue(&self, seen: &[Seen]) -> Measure {
+        let told = &self.day.supervisors;
+        let mut messages: BTreeMap<u32, Vec<(Nanos, u32, f64)>> = BTreeMap::new();
+        for one in seen {
+            if let Seen::Told { supervisor, forwarder, lines, ordered, .. } = one {
+                // Its head, its mark, and the lines that changed.
+                let lines = told.message_overhead + 1.0 + f64::from(*lines);
+                messages.entry(*supervisor).or_default().push((*ordered, *forwarder, lines));
+            }
+        }
+        let (mut nearest, mut breaches) = (0.0_f64, Vec::new());
+        for (supervisor, mut sent) in messages {
+            sent.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.cmp(&b.1)));
+            let (mut waiting, mut last, mut over) = (0.0_f64, 0, false);
+            let mut written: BTreeMap<u32, Vec<Nanos>> = BTreeMap::new();
+            for (ordered, forwarder, lines) in sent {
+                let left = ordered.saturating_sub(last) as f64 / SECOND as f64 * told.lines_per_s;
+                waiting = (waiting - left).max(0.0) + lines;
+                last = ordered;
+                let part = waiting / told.backlog;
+                nearest = nearest.max(part);
+                if part > 1.0 && !over {
+                    breaches.push(Breach {
+                        at_s: self.seconds(ordered),
+                        what: format!("{waiting:.0} lines wait in the channel of supervisor {supervisor}"),
+                        invocations: Vec::new(),
+                    });
+                }
+                over = part > 1.0;
+                if told.messages_max > 0 {
+                    let times = written.entry(forwarder).or_default();
+                    times.push(ordered);
+                    let since = ordered.saturating_sub(nanos(told.messages_over_ms));
+                    times.retain(|&at| at > since);
+                    let part = times.len() as f64 / f64::from(told.messages_max);
+                    nearest = nearest.max(part);
+                    if part > 1.0 {
+                        breaches.push(Breach {
+                            at_s: self.seconds(ordered),
+                            what: format!("{} messages to forwarder {forwarder}", times.len()),
+                            invocations: Vec::new(),
+                        });
+                    }
+                }
+            }
+        }
+        let limit = format!("{} lines", told.backlog);
+        Measure { rule: Rule::ShortQueue, limit, nearest, breaches }
+    }
+}
+
+/// Judges a day that was played from `span.0` to `span.1` by what was seen of it.
+pub fn judge(day: &Day, span: (Nanos, Nanos), seen: &[Seen]) -> Verdict {
+    let scene = Scene::new(day, span, seen);
+    let rules = vec![
+        scene.line_to_pick(seen),
+        scene.no_effect_twice(seen),
+        scene.drains_kept(seen),
+        scene.no_cold_server_pushed_over(seen),
+        scene.short_queue(seen),
+    ];
+    let width = 5.0;
+    let mut by_operation = vec![(0.0, 0.0); day.operations.len()];
+    let mut by_window: BTreeMap<u64, Vec<(f64, f64)>> = BTreeMap::new();
+    let mut asked_for = 0;
+    for one in seen {
+        let Seen::Done { asked, at, operation, outcome, .. } = one else { continue };
+        let told = &day.operations[usize::from(*operation)];
+        asked_for += 1;
+        let in_time = *outcome == Outcome::Succeeded && at - asked <= nanos(told.latency_objective_ms);
+        let window = (scene.seconds(*asked) / width) as u64;
+        let windows = by_window.entry(window).or_insert_with(|| vec![(0.0, 0.0); day.operations.len()]);
+        for sum in [&mut by_operation[usize::from(*operation)], &mut windows[usize::from(*operation)]] {
+            sum.0 += told.billed_value * f64::from(u8::from(in_time));
+            sum.1 += told.billed_value;
+        }
+    }
+    let ratio = |sum: &(f64, f64)| if sum.1 > 0.0 { sum.0 / sum.1 } else { 1.0 };
+    let named = |sums: &[(f64, f64)]| -> BTreeMap<String, f64> {
+        let asked = day.operations.iter().zip(sums).filter(|(_, sum)| sum.1 > 0.0);
+        asked.map(|(operation, sum)| (operation.name.clone(), ratio(sum))).collect()
+    };
+    let whole = by_operation.iter().fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+    let (service, operations) = (ratio(&whole), named(&by_operation));
+    let mut missed = Vec::new();
+    if asked_for == 0 {
+        missed.push("nothing was asked for".to_owned());
+    }
+    if service < day.expect.service {
+        missed.push(format!("service {service:.4} is under {}", day.expect.service));
+    }
+    for (name, expected) in &day.expect.operations {
+        let got = operations.get(name).copied().unwrap_or(0.0);
+        if got < *expected {
+            missed.push(format!("service of {name} {got:.4} is under {expected}"));
+        }
+    }
+    let windows =
+        by_window.iter().map(|(&at, sums)| Window { from_s: at as f64 * width, service: named(sums) });
+    Verdict {
+        title: day.title.clone(),
+        service,
+        expected: day.expect.service,
+        operations,
+        missed,
+        windows: windows.collect(),
+        rules,
+        asked: asked_for,
+        tries: seen.iter().filter(|one| matches!(one, Seen::Tried { .. })).count(),
+        remarks: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/drill/src/play.rs
@@ -0,0 +1,352 @@
+//! The script of a day becomes actions with times, and these are carried out as their times come.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Duration;
+
+use anyhow::Result;
+use oorandom::Rand64;
+use shalereel::interface::Nanos;
+use shalereel_reactor::{now, SECOND};
+use shalereel_standins::{read_trace, Command, ListedAs, Seen};
+
+use crate::day::{nanos, Day, Trouble, TroubleKind};
+use crate::judge::{judge, Verdict};
+use crate::stage::{Stage, Staged};
+
+enum Action {
+    Say(String),
+    Tell(Staged, Command),
+    Start(Vec<u32>),
+    ListAs(Vec<u32>, ListedAs),
+    /// As just started.
+    ListFresh(Vec<u32>),
+    KillSupervisor(usize),
+    StartSupervisor(usize),
+    StallSupervisor(usize, bool),
+    Revive(Vec<u32>),
+}
+
+struct Script<'a> {
+    day: &'a Day,
+    chance: Rand64,
+    actions: BTreeMap<(Nanos, usize), Action>,
+}
+
+fn at(seconds: f64) -> Nanos {
+    nanos(seconds * 1e3)
+}
+
+impl Script<'_> {
+    fn put(&mut self, seconds: f64, action: Action) {
+        let number = self.actions.len();
+        self.actions.insert((at(seconds), number), action);
+    }
+
+    fn tell(&mut self, seconds: f64, who: Staged, command: Command) {
+        self.put(seconds, Action::Tell(who, command));
+    }
+
+    fn drawn(&mut self, trouble: &Trouble, all: Vec<u32>) -> Vec<u32> {
+        let wanted = match trouble.count {
+            0 => (trouble.part * all.len() as f64).ceil() as usize,
+            count => count as usize,
+        };
+        let mut all = all;
+        while all.len() > wanted {
+            all.swap_remove(self.chance.rand_range(0..all.len() as u64) as usize);
+        }
+        all.sort_unstable();
+        all
+    }
+
+    fn servers(&mut self, trouble: &Trouble) -> Vec<u32> {
+        let zones = &self.day.localities;
+        let near =
+            |at: &u32| trouble.locality.is_empty() || zones[*at as usize % zones.len()] == trouble.locality;
+        let all = (0..self.day.fleet.servers).filter(near).map(|at| 1000 + at).collect();
+        self.drawn(trouble, all)
+    }
+
+    fn forwarders(&mut self, trouble: &Trouble) -> Vec<u32> {
+        let zones = &self.day.localities;
+        let near =
+            |at: &u32| trouble.locality.is_empty() || zones[*at as usize % zones.len()] == trouble.locality;
+        let all = (0..self.day.forwarders.count).filter(near).collect();
+        self.drawn(trouble, all)
+    }
+
+    /// Down at `from`, cold again at `to`; the list tells each later.
+    fn crash(&mut self, servers: Vec<u32>, from: f64, to: f64) {
+        let (notice, add) = (self.day.fleet.notice_s, self.day.fleet.add_s);
+        self.tell(from, Staged::Servers, Command::Crash { servers: servers.clone() });
+        // A short death is told only as a fresh start.
+        if notice < to - from {
+            self.put(from + notice, Action::ListAs(servers.clone(), ListedAs::Gone));
+        }
+        self.put(to, Action::Start(servers.clone()));
+        self.put(to + add, Action::ListFresh(servers));
+    }
+
+    /// Told to the list first, then gone, then back cold.
+    fn replace(&mut self, servers: Vec<u32>, from: f64, grace: f64) {
+        self.put(from, Action::ListAs(servers.clone(), ListedAs::Draining));
+        let leave = nanos(grace * 1e3);
+        self.tell(from, Staged::Servers, Command::Drain { servers: servers.clone(), grace: leave });
+        let gone = from + 1.5 * grace;
+        self.tell(gone, Staged::Servers, Command::Crash { servers: servers.clone() });
+        self.put(gone, Action::ListAs(servers.clone(), ListedAs::Gone));
+        self.put(gone + 0.5, Action::Start(servers.clone()));
+        self.put(gone + 0.5 + self.day.fleet.add_s, Action::ListFresh(servers));
+    }
+
+    fn trouble(&mut self, trouble: &Trouble) {
+        use TroubleKind::*;
+        let (from, to) = (trouble.at_s, trouble.at_s + trouble.for_s);
+        let grace = self.day.rules.drain_grace_s;
+        let place =
+            if trouble.locality.is_empty() { String::new() } else { format!(" in {}", trouble.locality) };
+        self.put(from, Action::Say(format!("{:?}{place}", trouble.kind)));
+        let both = |script: &mut Self, who, on: Command, off: Command| {
+            script.tell(from, who, on);
+            script.tell(to, who, off);
+        };
+        match trouble.kind {
+            Crash => {
+                let servers = self.servers(trouble);
+                self.crash(servers, from, to);
+            }
+            MassRestart => {
+                let servers = self.servers(trouble);
+                self.crash(servers, from, to);
+            }
+            Silence | Hang | Misreport => {
+                let servers = self.servers(trouble);
+                let command = |on| match trouble.kind {
+                    Silence => Command::Silence { servers: servers.clone(), on },
+                    Hang => Command::Hang { servers: servers.clone(), on },
+                    _ => Command::Misreport { servers: servers.clone(), on },
+                };
+                both(self, Staged::Servers, command(true), command(false));
+                // One that says it has no load while it stalls.
+                if trouble.kind == Misreport {
+                    let command = |on| Command::Hang { servers: servers.clone(), on };
+                    both(self, Staged::Servers, command(true), command(false));
+                }
+            }
+            Slow | SharedSlow => {
+                let servers = if trouble.kind == Slow {
+                    self.servers(trouble)
+                } else {
+                    (0..self.day.fleet.servers).map(|at| 1000 + at).collect()
+                };
+                let command = |factor| Command::Slow { servers: servers.clone(), factor };
+                both(self, Staged::Servers, command(trouble.factor.max(1.0)), command(1.0));
+            }
+            Neighbour => {
+                let servers = self.servers(trouble);
+                let mut time = from;
+                while time < to {
+                    let (on, off) = (trouble.factor.max(1.0), 1.0);
+                    self.tell(time, Staged::Servers, Command::Slow { servers: servers.clone(), factor: on });
+                    let end = (time + 2.0).min(to);
+                    self.tell(end, Staged::Servers, Command::Slow { servers: servers.clone(), factor: off });
+                    time += 3.0;
+                }
+            }
+            FastErrors => {
+                let servers = self.servers(trouble);
+                let part = if trouble.factor > 0.0 { trouble.factor.min(1.0) } else { 0.6 };
+                let command = |part| Command::Fail { servers: servers.clone(), part };
+                both(self, Staged::Servers, command(part), command(0.0));
+            }
+            Drain => {
+                let servers = self.servers(trouble);
+                self.replace(servers, from, grace.max(trouble.for_s / 3.0));
+            }
+            Deploy => {
+                let servers = self.servers(trouble);
+                let each = (self.day.fleet.servers as usize / 6).max(1);
+                let waves = servers.chunks(each).count();
+                for (wave, servers) in servers.chunks(each).enumerate() {
+                    let time = from + trouble.for_s * wave as f64 / waves as f64;
+                    self.replace(servers.to_vec(), time, grace);
+                }
+            }
+            Squeeze => {
+                let servers = self.servers(trouble);
+                let command = |part| Command::Squeeze { servers: servers.clone(), part };
+                both(self, Staged::Servers, command(trouble.factor), command(1.0));
+            }
+            Handshake => {
+                let servers = self.servers(trouble);
+                let command = |delay| Command::Handshake { servers: servers.clone(), delay };
+                both(self, Staged::Servers, command(nanos(trouble.delay_s * 1e3)), command(0));
+            }
+            LateReports => {
+                let command = |delay| Command::LateReports { delay };
+                both(self, Staged::Forwarders, command(nanos(trouble.delay_s * 1e3)), command(0));
+            }
+            WrongList | EmptyList => {
+                let mut servers = self.servers(trouble);
+                if trouble.kind == EmptyList {
+                    servers = (0..self.day.fleet.servers).map(|at| 1000 + at).collect();
+                }
+                let off = Command::LeaveOut { servers: Vec::new() };
+                both(self, Staged::Registry, Command::LeaveOut { servers }, off);
+            }
+            RegistryAway => {
+                both(self, Staged::Registry, Command::Away { on: true }, Command::Away { on: false });
+            }
+            RegistryMute => {
+                both(self, Staged::Registry, Command::Mute { on: true }, Command::Mute { on: false });
+            }
+            LocalityCut => {
+                let zones = vec![trouble.locality.clone()];
+                both(self, Staged::Forwarders, Command::Cut { zones }, Command::Cut { zones: Vec::new() });
+            }
+            ForwarderCrash => {
+                let forwarders = self.forwarders(trouble);
+                self.tell(from, Staged::Forwarders, Command::Die { forwarders: forwarders.clone() });
+                self.put(to, Action::Revive(forwarders));
+            }
+            ForwarderStall | ForwarderDeaf => {
+                let forwarders = self.forwarders(trouble);
+                let command = |on| match trouble.kind {
+                    ForwarderStall => Command::Stall { forwarders: forwarders.clone(), on },
+                    _ => Command::Deaf { forwarders: forwarders.clone(), on },
+                };
+                both(self, Staged::Forwarders, command(true), command(false));
+            }
+            SlowChannel => {
+                // Every second stands still for four fifths of it: what is sent travels late.
+                let forwarders: Vec<u32> = (0..self.day.forwarders.count).collect();
+                let mut time = from;
+                while time < to {
+                    let command = |on| Command::Deaf { forwarders: forwarders.clone(), on };
+                    self.tell(time, Staged::Forwarders, command(true));
+                    self.tell((time + 0.8).min(to), Staged::Forwarders, command(false));
+                    time += 1.0;
+                }
+            }
+            TurnDown => {
+                let forwarders = self.forwarders(trouble);
+                let count = trouble.factor.max(1.0) as u32;
+                self.tell(from, Staged::Forwarders, Command::TurnDown { forwarders, count });
+            }
+            GhostReports => {
+                both(
+                    self,
+                    Staged::Forwarders,
+                    Command::ReportGhost { on: true },
+                    Command::ReportGhost { on: false },
+                );
+            }
+            SupervisorCrash | SupervisorStall => {
+                let all = (0..u32::from(self.day.supervisors.count)).collect();
+                for number in self.drawn(trouble, all) {
+                    let number = number as usize;
+                    if trouble.kind == SupervisorCrash {
+                        self.put(from, Action::KillSupervisor(number));
+                        self.put(to, Action::StartSupervisor(number));
+                        continue;
+                    }
+                    let mut time = from;
+                    while time < to {
+                        self.put(time, Action::StallSupervisor(number, true));
+                        self.put((time + 1.5).min(to), Action::StallSupervisor(number, false));
+                        time += 2.5;
+                    }
+                }
+            }
+            Surge => {
+                let command = |factor| Command::Rate { factor };
+                both(self, Staged::Callers, command(trouble.factor), command(1.0));
+            }
+        }
+    }
+}
+
+fn carry_out(
+    stage: &mut Stage,
+    action: Action,
+    incarnation: &mut u64,
+    started: &mut BTreeMap<u32, (u64, Nanos)>,
+) -> Result<()> {
+    match action {
+        Action::Say(_) => {}
+        Action::Tell(who, command) => stage.tell(who, &command)?,
+        Action::Start(servers) => {
+            *incarnation += 1;
+            started.extend(servers.iter().map(|&server| (server, (*incarnation, now()))));
+            stage.tell(Staged::Servers, &Command::Start { servers, incarnation: *incarnation })?;
+        }
+        Action::ListAs(servers, state) => stage.list_as(&servers, state, None)?,
+        Action::ListFresh(servers) => {
+            for server in servers {
+                stage.list_as(&[server], ListedAs::Ready, started.get(&server).copied())?;
+            }
+        }
+        Action::KillSupervisor(number) => stage.kill_supervisor(number),
+        Action::StartSupervisor(number) => stage.start_supervisor(number)?,
+        Action::StallSupervisor(number, on) => stage.stall_supervisor(number, on),
+        Action::Revive(forwarders) => {
+            let listed = stage.list.values().filter(|row| row.state == ListedAs::Ready);
+            let standing = listed.map(|row| row.server).collect();
+            stage.tell(Staged::Forwarders, &Command::Revive { forwarders, standing })?;
+        }
+    }
+    Ok(())
+}
+
+/// Starts everything, plays the day, stops everything, and judges what was seen. `progress` gets a line a second.
+pub fn play(program: &Path, folder: &Path, day: &Day, progress: &mut dyn FnMut(&str)) -> Result<Verdict> {
+    let mut script = Script { day, chance: Rand64::new(u128::from(day.seed) + 2), actions: BTreeMap::new() };
+    for trouble in &day.troubles {
+        script.trouble(trouble);
+    }
+    let mut stage = Stage::open(program, folder, day)?;
+    let (start, length) = (now(), at(day.length_s));
+    let (mut incarnation, mut started, mut told) = (1, BTreeMap::new(), 0);
+    let mut said = String::new();
+    loop {
+        let time = now() - start;
+        while let Some(entry) = script.actions.first_entry().filter(|entry| entry.key().0 <= time) {
+            let action = entry.remove();
+            if let Action::Say(text) = &action {
+                said.clone_from(text);
+            }
+            carry_out(&mut stage, action, &mut incarnation, &mut started)?;
+        }
+        if time >= length {
+            break;
+        }
+        if time / SECOND >= told {
+            progress(&format!("{:>4} s of {}: {said}", time / SECOND, day.length_s));
+            told = time / SECOND + 1;
+        }
+        let next = script.actions.keys().next().map_or(length, |key| key.0).min(told * SECOND).min(length);
+        std::thread::sleep(Duration::from_nanos(next.saturating_sub(now() - start).min(SECOND)));
+    }
+    let end = now();
+    stage.tell(Staged::Callers, &Command::Quit)?;
+    // What was asked for last is still answered or timed out.
+    let longest = day.operations.iter().map(|operation| operation.integration_timeout_ms).fold(0.0, f64::max);
+    std::thread::sleep(Duration::from_nanos(nanos(longest) + SECOND / 5));
+    progress(&format!("{:>4} s of {}: over", day.length_s, day.length_s));
+    let traces =
+        [Staged::Servers, Staged::Forwarders, Staged::Callers, Staged::Registry].map(|who| stage.trace(who));
+    let logs: Vec<_> = (0..stage.supervisors()).map(|number| stage.log(number)).collect();
+    stage.close()?;
+    let mut seen: Vec<Seen> = Vec::new();
+    for trace in traces {
+        seen.extend(read_trace(&trace)?);
+    }
+    let mut verdict = judge(day, (start, end), &seen);
+    for (number, log) in logs.iter().enumerate() {
+        let text = std::fs::read_to_string(log).unwrap_or_default();
+        let remarks = text.lines().filter_map(|line| line.split_once("remark=").map(|(_, remark)| remark));
+        verdict.remarks.extend(remarks.map(|remark| format!("supervisor {number}: {remark}")));
+    }
+    Ok(verdict)
+}
--- /dev/null
+++ b/crates/drill/src/report.rs
@@ -0,0 +1,72 @@
+//! A verdict as a person reads it, and as JSON.
+
+use crate::judge::{Rule, Verdict};
+
+fn name(rule: Rule) -> &'static str {
+    match rule {
+        Rule::LineToPick => "a line to pick",
+        Rule::NoEffectTwice => "no effect twice",
+        Rule::DrainsKept => "drains kept",
+        Rule::NoColdServerPushedOver => "no cold server pushed over",
+        Rule::ShortQueue => "a short queue",
+    }
+}
+
+/// Breaches and invocations shown of each; JSON has them all.
+const SHOWN: usize = 5;
+
+pub fn as_text(verdict: &Verdict) -> String {
+    let mut out = String::new();
+    let mut line = |text: String| out.extend([text.as_str(), "\n"]);
+    line(format!("{}: {} invocations, {} tries", verdict.title, verdict.asked, verdict.tries));
+    line(format!("service {:.4}, expected {:.4}", verdict.service, verdict.expected));
+    for (operation, service) in &verdict.operations {
+        line(format!("  {operation:<24} {service:.4}"));
+    }
+    line("from     service by operation".into());
+    for window in &verdict.windows {
+        let parts = window.service.iter().map(|(name, service)| format!("{name} {service:.3}"));
+        line(format!("{:>5} s  {}", window.from_s, parts.collect::<Vec<_>>().join("  ")));
+    }
+    line("rules".into());
+    for measure in &verdict.rules {
+        let word = if measure.breaches.is_empty() { "kept  " } else { "BROKEN" };
+        let part = 100.0 * measure.nearest;
+        line(format!(
+            "  {word} {:<28} came to {part:.0}% of its limit ({})",
+            name(measure.rule),
+            measure.limit
+        ));
+        for breach in measure.breaches.iter().take(SHOWN) {
+            line(format!("         at {} s: {}", breach.at_s, breach.what));
+            if !breach.invocations.is_empty() {
+                let some: Vec<String> = breach.invocations.iter().take(SHOWN).map(u64::to_string).collect();
+                line(format!(
+                    "           invocations {} ({} in all)",
+                    some.join(", "),
+                    breach.invocations.len()
+                ));
+            }
+        }
+        if measure.breaches.len() > SHOWN {
+            line(format!("         and {} more", measure.breaches.len() - SHOWN));
+        }
+    }
+    if !verdict.remarks.is_empty() {
+        line("remarks of the supervisors".into());
+        verdict.remarks.iter().for_each(|remark| line(format!("  {remark}")));
+    }
+    for missed in &verdict.missed {
+        line(format!("MISSED: {missed}"));
+    }
+    line(
+        if verdict.stands() { "all rules kept, service as expected" } else { "the day does not stand" }
+            .into(),
+    );
+    out
+}
+
+/// The whole verdict, all breaches included.
+pub fn as_json(verdict: &Verdict) -> String {
+    serde_json::to_string_pretty(verdict).unwrap_or_default()
+}
--- a/crates/rpc/src/conn.rs
+++ b/crates/rpc/src/conn.rs
@@ -355,7 +355,7 @@
                         let _ = body.flow_control().release_capacity(piece.len());
                         self.framer.push(&piece);
                         loop {
-                            match self.framer.next() {
+                            match self.framer.take() {
                                 Ok(Some(message)) => out.push(Came::Message { stream, message }),
                                 Ok(None) => break,
                                 Err(error) => return self.refuse(error.into()),
--- a/crates/rpc/src/framer.rs
+++ b/crates/rpc/src/framer.rs
@@ -55,7 +55,7 @@
     }
 
     /// The next whole message. Errors cost the stream: what follows cannot be read.
-    pub fn next(&mut self) -> Result<Option<Bytes>, FrameError> {
+    pub fn take(&mut self) -> Result<Option<Bytes>, FrameError> {
         let Some(&flag) = self.held.first() else { return Ok(None) };
         match flag {
             0 => {}
@@ -90,6 +90,7 @@
 mod tests {
     use super::*;
     use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
 
     #[test]
     fn frames_as_the_specification_has_them() {
@@ -102,12 +103,12 @@
         for (bytes, error) in cases {
             let mut framer = Framer::new(255);
             framer.push(bytes);
-            assert_eq!(framer.next(), Err(error));
+            assert_eq!(framer.take(), Err(error));
         }
     }
 
     proptest! {
-        #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+        #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, rng_seed: RngSeed::Fixed(10), ..ProptestConfig::default() })]
         #[test]
         fn any_cut_gives_the_same_messages(
             messages in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 0..8),
@@ -117,7 +118,7 @@
             let (mut framer, mut got) = (Framer::new(64), Vec::new());
             for piece in whole.chunks(cut) {
                 framer.push(piece);
-                while let Some(message) = framer.next().unwrap() {
+                while let Some(message) = framer.take().unwrap() {
                     got.push(message.to_vec());
                 }
             }
--- a/crates/rpc/tests/wire.rs
+++ b/crates/rpc/tests/wire.rs
@@ -128,7 +128,8 @@
     hub.send(conn, stream, b"still here");
     until(&mut hub, |_, input| match input {
         Input::Message { stream, message, .. } if *stream == call => {
-            Some(assert_eq!(&message[..], b"still here"))
+            assert_eq!(&message[..], b"still here");
+            Some(())
         }
         _ => None,
     });
--- /dev/null
+++ b/crates/standins/src/forwarders.rs
@@ -0,0 +1,860 @@
+//! Forwarders: obey the published tables, avoid after failures, keep tables when the stream breaks, and report.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use anyhow::Result;
+use oorandom::Rand64;
+use prost::Message;
+use shalereel::interface::{FurtherTry, Nanos};
+use shalereel_reactor::{now, TimerId, Token, SECOND};
+use shalereel_rpc::{Code, ConnId, Hub, Input, Status, StreamId};
+use shalereel_xds::{
+    read_retries, types, Assignment, ClusterLoad, EndpointLoad, Health, LoadAnswer, LoadReport, NodeFacts,
+    Subscribing, Update, Variant, ADS, DELTA_ADS, LRS, SHUNNED,
+};
+
+use crate::plan::{Command, ForwarderPlan, ForwardersPlan, Pick, Ready};
+use crate::trace::{Seen, Trace};
+use crate::work::{path, Answer, Invocation};
+use crate::{read_plan, say_ready, BOUNDS};
+
+/// Name under which a supervisor serves routes.
+const ROUTES: &str = "shalereel";
+
+enum Key {
+    Redial(u32),
+    Report(u32, u64),
+    Send(u32, ConnId, Vec<u8>),
+    TryOver(u64),
+}
+
+#[derive(Clone, Debug)]
+struct Line {
+    address: SocketAddr,
+    weight: f64,
+    /// Where the wheel stands.
+    credit: f64,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    lines: Vec<Line>,
+    told: BTreeMap<SocketAddr, (u64, Health)>,
+    admitted: f64,
+    bare: bool,
+}
+
+#[derive(Debug, Default)]
+struct Met {
+    succeeded: u64,
+    errored: u64,
+    timed: u64,
+    time: Nanos,
+    cpu: Option<f64>,
+}
+
+#[derive(Debug, Default)]
+struct Sums {
+    dropped: u64,
+    met: BTreeMap<SocketAddr, Met>,
+}
+
+/// One invocation in hand.
+struct Trial {
+    forwarder: u32,
+    caller: (ConnId, StreamId),
+    inv: Invocation,
+    until: Nanos,
+    address: SocketAddr,
+    begun: Nanos,
+    at: Option<(ConnId, StreamId)>,
+    timer: Option<TimerId>,
+    further: FurtherTry,
+    answer: Option<Answer>,
+}
+
+struct Forwarder {
+    plan: ForwarderPlan,
+    listener: Token,
+    callers: BTreeSet<ConnId>,
+    alive: bool,
+    stalled: bool,
+    supervisor: usize,
+    link: Option<(ConnId, StreamId, StreamId)>,
+    up: bool,
+    list: Subscribing,
+    generation: u64,
+    tables: Vec<Table>,
+    shunned: BTreeSet<SocketAddr>,
+    further: Vec<FurtherTry>,
+    fails: BTreeMap<SocketAddr, u32>,
+    avoided: BTreeMap<SocketAddr, Nanos>,
+    conns: BTreeMap<SocketAddr, ConnId>,
+    open: BTreeMap<SocketAddr, u32>,
+    sums: Vec<Sums>,
+    reported: Nanos,
+    interval: Nanos,
+    turns_down: u32,
+}
+
+struct Forwarders {
+    hub: Hub<u32, Key>,
+    plan: ForwardersPlan,
+    forwarders: BTreeMap<u32, Forwarder>,
+    /// Whose connection it is, and to which server.
+    links: BTreeMap<ConnId, u32>,
+    servers: BTreeMap<ConnId, (u32, SocketAddr)>,
+    answered: BTreeSet<ConnId>,
+    calls: BTreeMap<(ConnId, StreamId), u32>,
+    trials: BTreeMap<u64, Trial>,
+    by_call: BTreeMap<(ConnId, StreamId), u64>,
+    by_caller: BTreeMap<(ConnId, StreamId), u64>,
+    ids: BTreeMap<SocketAddr, u32>,
+    zones: BTreeMap<SocketAddr, String>,
+    cut: Vec<String>,
+    late: Nanos,
+    ghost: bool,
+    last: u64,
+    chance: Rand64,
+    trace: Trace,
+}
+
+pub(crate) fn run() -> Result<()> {
+    let mut hub = Hub::new(BOUNDS)?;
+    hub.stop_on_signals()?;
+    let (plan, rest): (ForwardersPlan, _) = read_plan(&mut hub)?;
+    let trace = Trace::new(&plan.trace)?;
+    let mut addresses = Vec::new();
+    let mut all = Forwarders {
+        forwarders: BTreeMap::new(),
+        links: BTreeMap::new(),
+        servers: BTreeMap::new(),
+        answered: BTreeSet::new(),
+        calls: BTreeMap::new(),
+        trials: BTreeMap::new(),
+        by_call: BTreeMap::new(),
+        by_caller: BTreeMap::new(),
+        ids: plan.servers.iter().map(|server| (server.address, server.server)).collect(),
+        zones: plan.servers.iter().map(|server| (server.address, server.zone.clone())).collect(),
+        cut: Vec::new(),
+        late: 0,
+        ghost: false,
+        last: 0,
+        chance: Rand64::new(plan.seed.into()),
+        trace,
+        hub,
+        plan,
+    };
+    let standing: Vec<u32> = all.plan.servers.iter().map(|server| server.server).collect();
+    for (at, mut told) in all.plan.forwarders.clone().into_iter().enumerate() {
+        let (listener, address) = all.hub.listen(told.address, told.forwarder)?;
+        told.address = address;
+        addresses.push(address);
+        all.start(told, listener, at, &standing);
+    }
+    say_ready(&Ready { addresses })?;
+    let mut inputs = rest;
+    loop {
+        for input in inputs {
+            if !all.take(input)? {
+                return all.trace.finish();
+            }
+        }
+        inputs = all.hub.wait(None)?;
+    }
+}
+
+impl Forwarder {
+    fn lines(&self, operation: usize) -> impl Iterator<Item = &Line> {
+        self.tables[operation].lines.iter().filter(|line| !self.shunned.contains(&line.address))
+    }
+}
+
+impl Forwarders {
+    /// A forwarder with nothing but a standing table drawn by chance in its zone.
+    fn start(&mut self, told: ForwarderPlan, listener: Token, supervisor: usize, standing: &[u32]) {
+        let near =
+            |server: &&crate::ServerPlan| standing.contains(&server.server) && server.zone == told.zone;
+        let mut drawn: Vec<SocketAddr> = self.plan.servers.iter().filter(near).map(|s| s.address).collect();
+        if drawn.len() < 3 {
+            let listed = self.plan.servers.iter().filter(|server| standing.contains(&server.server));
+            drawn = listed.map(|server| server.address).collect();
+        }
+        while drawn.len() > self.plan.standing {
+            drawn.swap_remove(self.chance.rand_range(0..drawn.len() as u64) as usize);
+        }
+        let lines = || drawn.iter().map(|&address| Line { address, weight: 1.0, credit: 0.0 }).collect();
+        let count = self.plan.operations.len();
+        let variant = if self.plan.incremental { Variant::Incremental } else { Variant::StateOfTheWorld };
+        let node = NodeFacts {
+            id: format!("forwarder-{}", told.forwarder),
+            zone: told.zone.clone(),
+            rate: told.rate,
+            standing_only: true,
+        };
+        let mut list = Subscribing::new(variant, node);
+        let names = self.plan.operations.iter().map(|operation| operation.name.clone());
+        list.want(types::ASSIGNMENT, names.chain([SHUNNED.to_owned()]));
+        list.want(types::ROUTES, [ROUTES.to_owned()]);
+        let id = told.forwarder;
+        self.last += 1;
+        let forwarder = Forwarder {
+            plan: told,
+            listener,
+            callers: BTreeSet::new(),
+            alive: true,
+            stalled: false,
+            supervisor: supervisor % self.plan.supervisors.len().max(1),
+            link: None,
+            up: false,
+            list,
+            generation: self.last,
+            tables: (0..count).map(|_| Table { lines: lines(), admitted: 1.0, ..Table::default() }).collect(),
+            shunned: BTreeSet::new(),
+            further: vec![FurtherTry::Never; count],
+            fails: BTreeMap::new(),
+            avoided: BTreeMap::new(),
+            conns: BTreeMap::new(),
+            open: BTreeMap::new(),
+            sums: (0..count).map(|_| Sums::default()).collect(),
+            reported: now(),
+            interval: 0,
+            turns_down: 0,
+        };
+        self.forwarders.insert(id, forwarder);
+        self.dial(id);
+    }
+
+    fn take(&mut self, input: Input<u32, Key>) -> Result<bool> {
+        match input {
+            Input::Opened { conn, at } => {
+                if let Some(forwarder) = self.forwarders.get_mut(&at) {
+                    forwarder.callers.insert(conn);
+                    self.hub.pause(conn, forwarder.stalled);
+                }
+            }
+            Input::Call { conn, stream, .. } => {
+                let owner = self.forwarders.values().find(|forwarder| forwarder.callers.contains(&conn));
+                if let Some(owner) = owner {
+                    self.calls.insert((conn, stream), owner.plan.forwarder);
+                }
+            }
+            Input::Message { conn, stream, message } => {
+                if let Some(&forwarder) = self.links.get(&conn) {
+                    self.heard(forwarder, conn, stream, &message);
+                } else if let Some(&trial) = self.by_call.get(&(conn, stream)) {
+                    if let Some(trial) = self.trials.get_mut(&trial) {
+                        trial.answer = Answer::decode(message).ok();
+                    }
+                } else if let Some(&forwarder) = self.calls.get(&(conn, stream)) {
+                    match Invocation::decode(message) {
+                        Ok(inv) => self.asked(forwarder, (conn, stream), inv),
+                        Err(error) => {
+                            self.hub.finish(
+                                conn,
+                                stream,
+                                Status::new(Code::InvalidArgument, error.to_string()),
+                            );
+                        }
+                    }
+                }
+            }
+            Input::HalfClosed { .. } => {}
+            Input::Ended { conn, stream, status } => self.ended(conn, stream, &status),
+            Input::Closed { conn, why } => self.closed(conn, &why),
+            Input::Due(Key::Redial(forwarder)) => self.dial(forwarder),
+            Input::Due(Key::Report(forwarder, generation)) => self.report(forwarder, generation),
+            Input::Due(Key::Send(forwarder, conn, message)) => {
+                let link = self.forwarders.get(&forwarder).and_then(|forwarder| forwarder.link);
+                if let Some((_, _, load)) = link.filter(|link| link.0 == conn) {
+                    self.hub.send(conn, load, &message);
+                }
+            }
+            Input::Due(Key::TryOver(trial)) => {
+                if let Some(held) = self.trials.get(&trial) {
+                    if let Some((conn, stream)) = held.at {
+                        self.hub.cancel(conn, stream);
+                        self.by_call.remove(&(conn, stream));
+                    }
+                    self.tried(trial, Err((Status::new(Code::DeadlineExceeded, "no answer in time"), false)));
+                }
+            }
+            Input::Line(line) => self.command(serde_json::from_str(&line)?),
+            Input::NoMoreLines | Input::Stop => return Ok(false),
+        }
+        Ok(true)
+    }
+
+    // The supervisor's side.
+
+    fn dial(&mut self, id: u32) {
+        let Some(forwarder) = self.forwarders.get_mut(&id).filter(|f| f.alive && f.link.is_none()) else {
+            return;
+        };
+        let Some(&address) = self.plan.supervisors.get(forwarder.supervisor) else { return };
+        let ads = if self.plan.incremental { DELTA_ADS } else { ADS };
+        let Ok(conn) = self.hub.dial(address) else { return self.redial(id) };
+        let (Some(stream), Some(load)) = (self.hub.call(conn, ads, None), self.hub.call(conn, LRS, None))
+        else {
+            return;
+        };
+        forwarder.link = Some((conn, stream, load));
+        forwarder.up = false;
+        self.links.insert(conn, id);
+        for message in forwarder.list.reopen() {
+            self.hub.send(conn, stream, &message);
+        }
+        let report = LoadReport { node: Some(forwarder.list.node.clone()), clusters: Vec::new() };
+        self.hub.send(conn, load, &report.encode());
+        self.hub.pause(conn, forwarder.stalled);
+    }
+
+    /// Another supervisor, a little later.
+    fn redial(&mut self, id: u32) {
+        let (least, most) = self.plan.redial;
+        let wait = least + (self.chance.rand_float() * most.saturating_sub(least) as f64) as Nanos;
+        if let Some(forwarder) = self.forwarders.get_mut(&id) {
+            forwarder.supervisor = (forwarder.supervisor + 1) % self.plan.supervisors.len().max(1);
+            self.hub.set(now() + wait, Key::Redial(id));
+        }
+    }
+
+    fn lost(&mut self, id: u32) {
+        let Some(forwarder) = self.forwarders.get_mut(&id) else { return };
+        let Some((conn, ..)) = forwarder.link.take() else { return };
+        self.links.remove(&conn);
+        if std::mem::replace(&mut forwarder.up, false) {
+            self.trace.put(&Seen::Left { at: now(), forwarder: id });
+        }
+        forwarder.list.node.standing_only = false;
+        self.hub.close(conn, false);
+        self.redial(id);
+    }
+
+    fn heard(&mut self, id: u32, conn: ConnId, stream: StreamId, message: &[u8]) {
+        let Some(forwarder) = self.forwarders.get_mut(&id) else { return };
+        let Some((_, discovery, load)) = forwarder.link.filter(|link| link.0 == conn) else { return };
+        if stream == load {
+            if let Ok(answer) = LoadAnswer::decode(message) {
+                forwarder.interval = answer.interval.max(SECOND / 100);
+                self.last += 1;
+                forwarder.generation = self.last;
+                self.hub.set(now() + forwarder.interval, Key::Report(id, forwarder.generation));
+                if !std::mem::replace(&mut forwarder.up, true) {
+                    let supervisor = forwarder.supervisor as u32;
+                    self.trace.put(&Seen::Joined { at: now(), forwarder: id, supervisor });
+                }
+            }
+        } else if stream == discovery {
+            match forwarder.list.hear(message) {
+                Ok(update) => self.update(id, conn, stream, &update),
+                Err(status) => eprintln!("forwarder {id}: {status}"),
+            }
+        }
+    }
+
+    fn update(&mut self, id: u32, conn: ConnId, stream: StreamId, update: &Update) {
+        let Some(forwarder) = self.forwarders.get_mut(&id) else { return };
+        if forwarder.turns_down > 0 {
+            forwarder.turns_down -= 1;
+            let answer = forwarder.list.turn_down(update, "told to turn it down".into());
+            return self.hub.send(conn, stream, &answer);
+        }
+        let result = match update.type_url.as_str() {
+            types::ROUTES => update.resources.iter().try_for_each(|any| {
+                for (name, further) in read_retries(any)? {
+                    if let Some(at) = self.plan.operations.iter().position(|operation| operation.name == name)
+                    {
+                        forwarder.further[at] = further;
+                    }
+                }
+                Ok::<(), Status>(())
+            }),
+            _ => self.assign(id, update),
+        };
+        let Some(forwarder) = self.forwarders.get_mut(&id) else { return };
+        let answer = match result {
+            Ok(()) => forwarder.list.accept(update),
+            Err(status) => forwarder.list.turn_down(update, status.text),
+        };
+        self.hub.send(conn, stream, &answer);
+        self.look_for_lines(id);
+    }
+
+    fn assign(&mut self, id: u32, update: &Update) -> Result<(), Status> {
+        // All of an update or nothing of it.
+        let tables: Vec<Assignment> =
+            update.resources.iter().map(Assignment::decode).collect::<Result<_, _>>()?;
+        let Some(forwarder) = self.forwarders.get_mut(&id) else { return Ok(()) };
+        let mut changed = 0;
+        for told in tables {
+            if told.cluster == SHUNNED {
+                let fresh: BTreeSet<SocketAddr> = told.rows.iter().map(|row| row.address).collect();
+                changed = changed.max(fresh.symmetric_difference(&forwarder.shunned).count());
+                if !self.plan.ignore_drains {
+                    forwarder.shunned = fresh;
+                }
+                continue;
+            }
+            let Some(at) = self.plan.operations.iter().position(|operation| operation.name == told.cluster)
+            else {
+                continue;
+            };
+            let table = &mut forwarder.tables[at];
+            let fresh: BTreeMap<SocketAddr, (u64, Health)> =
+                told.rows.iter().map(|row| (row.address, (row.weight.to_bits(), row.health))).collect();
+            let differs = |key: &&SocketAddr| fresh.get(*key) != table.told.get(*key);
+            let keys: BTreeSet<&SocketAddr> = fresh.keys().chain(table.told.keys()).collect();
+            changed = changed.max(keys.iter().filter(|key| differs(key)).count());
+            table.told = fresh;
+            let credits: BTreeMap<SocketAddr, f64> =
+                table.lines.iter().map(|line| (line.address, line.credit)).collect();
+            let ready = told.rows.iter().filter(|row| row.health == Health::Ready);
+            let mut lines: Vec<Line> = ready
+                .map(|row| Line {
+                    address: row.address,
+                    weight: row.weight,
+                    credit: credits.get(&row.address).copied().unwrap_or(0.0),
+                })
+                .collect();
+            if self.plan.ignore_drains {
+                let kept =
+                    table.lines.iter().filter(|old| !told.rows.iter().any(|row| row.address == old.address));
+                lines.extend(kept.cloned());
+            }
+            table.lines = lines;
+            table.admitted = told.admitted;
+        }
+        let (_, ordered) = update.stamp().unwrap_or_default();
+        let supervisor = forwarder.supervisor as u32;
+        self.trace.put(&Seen::Told { at: now(), forwarder: id, supervisor, lines: changed as u32, ordered });
+        self.close_unused(id);
+        Ok(())
+    }
+
+    /// Connections to servers that left all tables are closed, once nothing runs on them.
+    fn close_unused(&mut self, id: u32) {
+        let Some(forwarder) = self.forwarders.get_mut(&id) else { return };
+        let held: BTreeSet<SocketAddr> =
+            forwarder.tables.iter().flat_map(|table| table.lines.iter().map(|line| line.address)).collect();
+        let idle = |address: &SocketAddr| {
+            !held.contains(address) && forwarder.open.get(address).copied().unwrap_or(0) == 0
+        };
+        let unused: Vec<SocketAddr> =
+            forwarder.conns.keys().filter(|address| idle(address)).copied().collect();
+        for address in unused {
+            if let Some(conn) = forwarder.conns.remove(&address) {
+                self.servers.remove(&conn);
+                self.hub.close(conn, false);
+            }
+        }
+    }
+
+    fn look_for_lines(&mut self, id: u32) {
+        let Some(forwarder) = self.forwarders.get_mut(&id) else { return };
+        for at in 0..forwarder.tables.len() {
+            let bare = forwarder.lines(at).next().is_none();
+            if bare != std::mem::replace(&mut forwarder.tables[at].bare, bare) {
+                self.trace.put(&Seen::Bare { at: now(), forwarder: id, operation: at as u16, on: bare });
+            }
+        }
+    }
+
+    fn report(&mut self, id: u32, generation: u64) {
+        let Some(forwarder) = self.forwarders.get_mut(&id).filter(|f| f.generation == generation) else {
+            return;
+        };
+        self.hub.set(now() + forwarder.interval, Key::Report(id, generation));
+        let Some((conn, _, load)) = forwarder.link.filter(|_| !forwarder.stalled) else { return };
+        let interval = now().saturating_sub(std::mem::replace(&mut forwarder.reported, now()));
+        let mut clusters = Vec::new();
+        for (operation, sums) in self.plan.operations.iter().zip(&mut forwarder.sums) {
+            let sums = std::mem::take(sums);
+            let mut endpoints: Vec<EndpointLoad> = sums
+                .met
+                .into_iter()
+                .map(|(address, met)| EndpointLoad {
+                    address,
+                    zone: self.zones.get(&address).cloned().unwrap_or_default(),
+                    succeeded: met.succeeded,
+                    errored: met.errored,
+                    timed: met.timed,
+                    time: met.time,
+                    metrics: met.cpu.map(|cpu| ("cpu".to_owned(), cpu)).into_iter().collect(),
+                })
+                .collect();
+            if self.ghost {
+                // A server that never was.
+                let address = SocketAddr::from(([127, 9, 9, 9], 9));
+                let zone = forwarder.plan.zone.clone();
+                let (timed, time, metrics) = (0, 0, BTreeMap::new());
+                endpoints.push(EndpointLoad {
+                    address,
+                    zone,
+                    succeeded: 0,
+                    errored: 50,
+                    timed,
+                    time,
+                    metrics,
+                });
+            }
+            clusters.push(ClusterLoad {
+                cluster: operation.name.clone(),
+                interval,
+                issued: endpoints.iter().map(|load| load.succeeded + load.errored).sum(),
+                errored: endpoints.iter().map(|load| load.errored).sum(),
+                dropped: sums.dropped,
+                endpoints,
+            });
+        }
+        let message = LoadReport { node: None, clusters }.encode();
+        if self.late > 0 {
+            self.hub.set(now() + self.late, Key::Send(id, conn, message));
+        } else {
+            self.hub.send(conn, load, &message);
+        }
+    }
+
+    // The callers' and servers' side.
+
+    fn asked(&mut self, id: u32, caller: (ConnId, StreamId), inv: Invocation) {
+        let at = inv.operation as usize;
+        let Some(operation) = self.plan.operations.get(at) else {
+            return self.hub.finish(
+                caller.0,
+                caller.1,
+                Status::new(Code::Unimplemented, "no such operation"),
+            );
+        };
+        let until = now() + operation.integration_timeout;
+        let Some(forwarder) = self.forwarders.get_mut(&id) else { return };
+        if self.chance.rand_float() >= forwarder.tables[at].admitted {
+            forwarder.sums[at].dropped += 1;
+            let status = Status::new(Code::ResourceExhausted, "rate-limited by the operation's level");
+            return self.hub.finish(caller.0, caller.1, status);
+        }
+        let Some(address) = self.pick(id, at, None) else {
+            if let Some(forwarder) = self.forwarders.get_mut(&id) {
+                forwarder.sums[at].dropped += 1;
+            }
+            return self.hub.finish(caller.0, caller.1, Status::new(Code::NotFound, "no line to pick"));
+        };
+        self.last += 1;
+        let trial = Trial {
+            forwarder: id,
+            caller,
+            inv: Invocation { forwarder: id, further: 0, ..inv },
+            until,
+            address,
+            begun: now(),
+            at: None,
+            timer: None,
+            further: FurtherTry::Never,
+            answer: None,
+        };
+        self.trials.insert(self.last, trial);
+        self.by_caller.insert(caller, self.last);
+        self.attempt(self.last);
+    }
+
+    fn pick(&mut self, id: u32, at: usize, not: Option<SocketAddr>) -> Option<SocketAddr> {
+        let time = now();
+        let pick = self.plan.pick;
+        let forwarder = self.forwarders.get_mut(&id)?;
+        forwarder.avoided.retain(|_, until| *until > time);
+        let lines: Vec<Line> =
+            forwarder.lines(at).filter(|line| Some(line.address) != not).cloned().collect();
+        let sound: Vec<&Line> =
+            lines.iter().filter(|line| !forwarder.avoided.contains_key(&line.address)).collect();
+        let from: Vec<&Line> = if sound.is_empty() { lines.iter().collect() } else { sound };
+        let total: f64 = from.iter().map(|line| line.weight).sum();
+        let chance = &mut self.chance;
+        let mut draw = || {
+            let mut left = chance.rand_float() * total;
+            let drawn = from.iter().find(|line| {
+                left -= line.weight;
+                left <= 0.0
+            });
+            drawn.or(from.last()).map(|line| line.address)
+        };
+        match pick {
+            Pick::Lottery => draw(),
+            Pick::Pair => {
+                let (one, other) = (draw()?, draw()?);
+                let open = |address| forwarder.open.get(&address).copied().unwrap_or(0);
+                Some(if open(other) < open(one) { other } else { one })
+            }
+            Pick::Wheel => {
+                let chosen: BTreeSet<SocketAddr> = from.iter().map(|line| line.address).collect();
+                let mut best: Option<&mut Line> = None;
+                for line in forwarder.tables[at].lines.iter_mut().filter(|l| chosen.contains(&l.address)) {
+                    line.credit += line.weight;
+                    if best.as_ref().is_none_or(|best| line.credit > best.credit) {
+                        best = Some(line);
+                    }
+                }
+                best.map(|line| {
+                    line.credit -= total;
+                    line.address
+                })
+            }
+        }
+    }
+
+    fn attempt(&mut self, number: u64) {
+        let Some(trial) = self.trials.get_mut(&number) else { return };
+        let (id, address, at) = (trial.forwarder, trial.address, trial.inv.operation as usize);
+        let Some(forwarder) = self.forwarders.get_mut(&id) else { return };
+        trial.further = forwarder.further[at];
+        trial.begun = now();
+        trial.answer = None;
+        *forwarder.open.entry(address).or_default() += 1;
+        let tries = trial.inv.further;
+        let followed = match trial.further {
+            FurtherTry::Once => tries < 1,
+            FurtherTry::Twice => tries < 2,
+            _ => false,
+        };
+        let objective = self.plan.operations[at].latency_objective as f64;
+        let wait = (objective * self.plan.first_wait) as Nanos;
+        let until = if followed { trial.until.min(now() + wait) } else { trial.until };
+        let server = self.ids.get(&address).copied().unwrap_or(u32::MAX);
+        let (inv, further) = (trial.inv.inv, trial.inv.further);
+        self.trace.put(&Seen::Tried { at: now(), forwarder: id, server, inv, further });
+        trial.timer = Some(self.hub.set(until, Key::TryOver(number)));
+        // Across a cut nothing passes: the try ends by its time alone.
+        let far = self.zones.get(&address).is_some_and(|zone| {
+            *zone != forwarder.plan.zone
+                && (self.cut.contains(zone) || self.cut.contains(&forwarder.plan.zone))
+        });
+        if far {
+            return;
+        }
+        let conn = match forwarder.conns.get(&address) {
+            Some(&conn) => Some(conn),
+            None => self.hub.dial(address).ok(),
+        };
+        let call = conn.and_then(|conn| {
+            forwarder.conns.insert(address, conn);
+            self.servers.insert(conn, (id, address));
+            let timeout = Some(until.saturating_sub(now()));
+            Some((conn, self.hub.call(conn, &path(&self.plan.operations[at].name), timeout)?))
+        });
+        let Some((conn, stream)) = call else {
+            forwarder.conns.remove(&address);
+            return self.tried(number, Err((Status::new(Code::Unavailable, "no connection"), true)));
+        };
+        self.hub.send(conn, stream, &trial.inv.encode_to_vec());
+        self.hub.finish(conn, stream, Status::OK);
+        trial.at = Some((conn, stream));
+        self.by_call.insert((conn, stream), number);
+    }
+
+    fn ended(&mut self, conn: ConnId, stream: StreamId, status: &Status) {
+        if let Some(&id) = self.links.get(&conn) {
+            return self.lost(id);
+        }
+        self.answered.insert(conn);
+        if let Some(number) = self.by_call.remove(&(conn, stream)) {
+            let result = match status.code {
+                Code::Ok => Ok(()),
+                // A full queue or a draining server says so before anything ran.
+                Code::ResourceExhausted => Err((status.clone(), true)),
+                _ => Err((status.clone(), false)),
+            };
+            return self.tried(number, result);
+        }
+        self.calls.remove(&(conn, stream));
+        // The caller has given it up.
+        if let Some(number) = self.by_caller.remove(&(conn, stream)) {
+            if let Some(trial) = self.trials.remove(&number) {
+                self.settle(&trial);
+                if let Some((conn, stream)) = trial.at {
+                    self.hub.cancel(conn, stream);
+                    self.by_call.remove(&(conn, stream));
+                }
+                self.note(&trial, false);
+            }
+        }
+    }
+
+    fn closed(&mut self, conn: ConnId, why: &str) {
+        if let Some(&id) = self.links.get(&conn) {
+            return self.lost(id);
+        }
+        if let Some((id, address)) = self.servers.remove(&conn) {
+            if let Some(forwarder) = self.forwarders.get_mut(&id) {
+                forwarder.conns.remove(&address);
+            }
+            // Refused before a connection stood: nothing of it ever ran.
+            let proof = !self.answered.remove(&conn) && why.contains("refused");
+            let open: Vec<u64> =
+                self.by_call.range((conn, 0)..=(conn, StreamId::MAX)).map(|(_, &number)| number).collect();
+            self.by_call.retain(|(of, _), _| *of != conn);
+            for number in open {
+                self.tried(number, Err((Status::new(Code::Unavailable, why), proof)));
+            }
+            return;
+        }
+        for forwarder in self.forwarders.values_mut() {
+            forwarder.callers.remove(&conn);
+        }
+        let open: Vec<StreamId> =
+            self.calls.range((conn, 0)..=(conn, StreamId::MAX)).map(|((_, stream), _)| *stream).collect();
+        for stream in open {
+            self.ended(conn, stream, &Status::new(Code::Cancelled, why));
+        }
+    }
+
+    fn settle(&mut self, trial: &Trial) {
+        if let Some(timer) = trial.timer {
+            self.hub.unset(timer);
+        }
+        if let Some(forwarder) = self.forwarders.get_mut(&trial.forwarder) {
+            if let Some(open) = forwarder.open.get_mut(&trial.address) {
+                *open = open.saturating_sub(1);
+            }
+        }
+    }
+
+    /// Adds a try to what is reported, and to what is avoided.
+    fn note(&mut self, trial: &Trial, succeeded: bool) {
+        let Some(forwarder) = self.forwarders.get_mut(&trial.forwarder) else { return };
+        let met = forwarder.sums[trial.inv.operation as usize].met.entry(trial.address).or_default();
+        if succeeded {
+            met.succeeded += 1;
+            met.timed += 1;
+            met.time += now().saturating_sub(trial.begun);
+            met.cpu = trial.answer.as_ref().map(|answer| answer.cpu).or(met.cpu);
+            forwarder.fails.remove(&trial.address);
+        } else {
+            met.errored += 1;
+            let fails = forwarder.fails.entry(trial.address).or_default();
+            *fails += 1;
+            if self.plan.fails_to_avoid > 0 && *fails >= self.plan.fails_to_avoid {
+                *fails = 0;
+                forwarder.avoided.insert(trial.address, now() + self.plan.avoid_for);
+            }
+        }
+    }
+
+    /// One try is over; the error comes with whether it is proof that nothing ran.
+    fn tried(&mut self, number: u64, result: Result<(), (Status, bool)>) {
+        let Some(mut trial) = self.trials.remove(&number) else { return };
+        self.settle(&trial);
+        self.note(&trial, result.is_ok());
+        if let Err((_, proof)) = &result {
+            let tries = trial.inv.further;
+            let again = match trial.further {
+                FurtherTry::Never => false,
+                FurtherTry::AfterProof => tries < 1 && *proof,
+                FurtherTry::Once => tries < 1,
+                FurtherTry::Twice => tries < 2,
+            };
+            if again && now() < trial.until {
+                let (id, at) = (trial.forwarder, trial.inv.operation as usize);
+                if let Some(address) = self.pick(id, at, Some(trial.address)) {
+                    trial.address = address;
+                    trial.inv.further += 1;
+                    trial.at = None;
+                    self.trials.insert(number, trial);
+                    return self.attempt(number);
+                }
+            }
+        }
+        let (conn, stream) = trial.caller;
+        self.by_caller.remove(&trial.caller);
+        self.calls.remove(&trial.caller);
+        match result {
+            Ok(()) => {
+                self.hub.send(conn, stream, &trial.answer.unwrap_or_default().encode_to_vec());
+                self.hub.finish(conn, stream, Status::OK);
+            }
+            Err((status, _)) => self.hub.finish(conn, stream, status),
+        }
+    }
+
+    // Troubles.
+
+    fn die(&mut self, id: u32) {
+        let Some(forwarder) = self.forwarders.get_mut(&id).filter(|forwarder| forwarder.alive) else {
+            return;
+        };
+        forwarder.alive = false;
+        let link = forwarder.link.take().map(|link| link.0);
+        let conns: Vec<ConnId> = link
+            .into_iter()
+            .chain(forwarder.conns.values().copied())
+            .chain(forwarder.callers.iter().copied())
+            .collect();
+        self.hub.unlisten(forwarder.listener);
+        for conn in conns {
+            self.links.remove(&conn);
+            self.servers.remove(&conn);
+            self.hub.close(conn, true);
+            self.by_call.retain(|(of, _), _| *of != conn);
+            self.by_caller.retain(|(of, _), _| *of != conn);
+            self.calls.retain(|(of, _), _| *of != conn);
+        }
+        let gone: Vec<u64> =
+            self.trials.iter().filter(|(_, t)| t.forwarder == id).map(|(&number, _)| number).collect();
+        for number in gone {
+            if let Some(trial) = self.trials.remove(&number) {
+                self.settle(&trial);
+            }
+        }
+        self.trace.put(&Seen::Died { at: now(), forwarder: id });
+    }
+
+    fn stall(&mut self, id: u32, on: bool) {
+        let Some(forwarder) = self.forwarders.get_mut(&id) else { return };
+        forwarder.stalled = on;
+        self.trace.put(&Seen::Reachable { at: now(), forwarder: id, on: !on });
+        let link = forwarder.link.map(|link| link.0);
+        let conns = link
+            .into_iter()
+            .chain(forwarder.conns.values().copied())
+            .chain(forwarder.callers.iter().copied());
+        conns.collect::<Vec<_>>().into_iter().for_each(|conn| self.hub.pause(conn, on));
+        self.hub.pause_listener(forwarder.listener, on);
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Die { forwarders } => forwarders.into_iter().for_each(|id| self.die(id)),
+            Command::Revive { forwarders, standing } => {
+                for id in forwarders {
+                    self.die(id);
+                    let Some(forwarder) = self.forwarders.get(&id) else { continue };
+                    let (plan, supervisor) = (forwarder.plan.clone(), forwarder.supervisor);
+                    match self.hub.listen(plan.address, id) {
+                        Ok((listener, _)) => self.start(plan, listener, supervisor, &standing),
+                        Err(error) => eprintln!("forwarder {id} cannot come back: {error}"),
+                    }
+                }
+            }
+            Command::Stall { forwarders, on } => forwarders.into_iter().for_each(|id| self.stall(id, on)),
+            Command::Deaf { forwarders, on } => {
+                for id in forwarders {
+                    self.trace.put(&Seen::Reachable { at: now(), forwarder: id, on: !on });
+                    let link = self.forwarders.get(&id).and_then(|forwarder| forwarder.link);
+                    if let Some((conn, ..)) = link {
+                        self.hub.pause(conn, on);
+                    }
+                }
+            }
+            Command::TurnDown { forwarders, count } => {
+                for id in forwarders {
+                    if let Some(forwarder) = self.forwarders.get_mut(&id) {
+                        forwarder.turns_down = count;
+                    }
+                }
+            }
+            Command::LateReports { delay } => self.late = delay,
+            Command::Cut { zones } => self.cut = zones,
+            Command::ReportGhost { on } => self.ghost = on,
+            other => eprintln!("forwarders cannot {other:?}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/registry.rs
@@ -0,0 +1,160 @@
+//! The registry: serves the list of servers as an endpoint assignment, to whoever subscribes.
+
+use std::collections::BTreeMap;
+
+use anyhow::Result;
+use shalereel_reactor::{now, Token, MILLI};
+use shalereel_rpc::{ConnId, Hub, Input, Status, StreamId};
+use shalereel_xds::{
+    types, Asked, Assignment, Health, Resource, Row, ServerFacts, Serving, Variant, DELTA_ADS,
+};
+
+use crate::plan::{Command, Listed, ListedAs, Ready, RegistryPlan};
+use crate::trace::{Seen, Trace};
+use crate::{read_plan, say_ready, BOUNDS};
+
+const FLEET: &str = "fleet";
+
+struct Registry {
+    hub: Hub<(), ()>,
+    listener: Token,
+    list: BTreeMap<u32, Listed>,
+    left_out: Vec<u32>,
+    mute: bool,
+    streams: BTreeMap<(ConnId, StreamId), (Serving, String)>,
+    version: u64,
+    trace: Trace,
+}
+
+pub(crate) fn run() -> Result<()> {
+    let mut hub = Hub::new(BOUNDS)?;
+    hub.stop_on_signals()?;
+    let (plan, rest): (RegistryPlan, _) = read_plan(&mut hub)?;
+    let (listener, address) = hub.listen(plan.address, ())?;
+    say_ready(&Ready { addresses: vec![address] })?;
+    let mut registry = Registry {
+        hub,
+        listener,
+        list: plan.list.into_iter().map(|row| (row.server, row)).collect(),
+        left_out: Vec::new(),
+        mute: false,
+        streams: BTreeMap::new(),
+        version: 1,
+        trace: Trace::new(&plan.trace)?,
+    };
+    let mut inputs = rest;
+    loop {
+        for input in inputs {
+            match input {
+                Input::Call { conn, stream, path, .. } => {
+                    let variant =
+                        if path == DELTA_ADS { Variant::Incremental } else { Variant::StateOfTheWorld };
+                    registry
+                        .streams
+                        .insert((conn, stream), (Serving::new(variant, "registry"), String::new()));
+                }
+                Input::Message { conn, stream, message } => registry.heard(conn, stream, &message),
+                Input::HalfClosed { conn, stream } => registry.hub.finish(conn, stream, Status::OK),
+                Input::Ended { conn, stream, .. } => drop(registry.streams.remove(&(conn, stream))),
+                Input::Closed { conn, .. } => registry.streams.retain(|(of, _), _| *of != conn),
+                Input::Line(line) => registry.command(serde_json::from_str(&line)?),
+                Input::NoMoreLines | Input::Stop => return registry.trace.finish(),
+                Input::Opened { .. } | Input::Due(()) => {}
+            }
+        }
+        inputs = registry.hub.wait(None)?;
+    }
+}
+
+impl Registry {
+    fn heard(&mut self, conn: ConnId, stream: StreamId, message: &[u8]) {
+        let Some((serving, who)) = self.streams.get_mut(&(conn, stream)) else { return };
+        match serving.hear(message) {
+            Ok(asked) => {
+                let mut wants = false;
+                for asked in asked {
+                    match asked {
+                        Asked::Node(node) => *who = node.id,
+                        Asked::Wants { type_url, .. } => wants |= type_url == types::ASSIGNMENT,
+                        Asked::TurnedDown { why, .. } => eprintln!("the list was turned down: {why}"),
+                        Asked::Holds { nonce, .. } => {
+                            let (at, to) = (now(), who.clone());
+                            self.trace.put(&Seen::Acknowledged { at, to, version: nonce });
+                        }
+                    }
+                }
+                if wants {
+                    self.say((conn, stream));
+                }
+            }
+            Err(status) => self.hub.finish(conn, stream, status),
+        }
+    }
+
+    fn say(&mut self, to: (ConnId, StreamId)) {
+        let time = now();
+        let listed = || self.list.values().filter(|row| !self.left_out.contains(&row.server));
+        let rows = listed().filter(|row| row.state != ListedAs::Gone).map(|row| Row {
+            address: row.address,
+            zone: row.zone.clone(),
+            health: if row.state == ListedAs::Draining { Health::Draining } else { Health::Ready },
+            weight: row.weight,
+            facts: Some(ServerFacts {
+                server: row.server,
+                kind: row.kind,
+                cell: row.cell,
+                incarnation: row.incarnation,
+                age: (row.started > 0).then(|| time.saturating_sub(row.started) / MILLI * MILLI),
+            }),
+        });
+        let any = Assignment { cluster: FLEET.into(), rows: rows.collect(), admitted: 1.0 }.encode();
+        let ready = listed().filter(|row| row.state == ListedAs::Ready);
+        let ready = ready.map(|row| (row.server, row.incarnation, row.started)).collect();
+        let draining = listed().filter(|row| row.state == ListedAs::Draining).map(|row| row.server).collect();
+        let out = |row: &&Listed| row.state == ListedAs::Gone || self.left_out.contains(&row.server);
+        let gone = self.list.values().filter(out).map(|row| row.server).collect();
+        let version = self.version.to_string();
+        let Some((serving, who)) = self.streams.get_mut(&to) else { return };
+        let resource = Resource { name: FLEET.into(), version: version.clone(), any };
+        let message =
+            serving.say(types::ASSIGNMENT, &version, vec![resource], Vec::new(), (self.version, time));
+        let to_whom = who.clone();
+        self.trace.put(&Seen::Said { at: time, to: to_whom, version: self.version, ready, draining, gone });
+        self.hub.send(to.0, to.1, &message);
+    }
+
+    fn say_all(&mut self) {
+        self.version += 1;
+        let all: Vec<(ConnId, StreamId)> = self.streams.keys().copied().collect();
+        if !self.mute {
+            all.into_iter().for_each(|to| self.say(to));
+        }
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::List { rows } => {
+                self.list.extend(rows.into_iter().map(|row| (row.server, row)));
+                self.say_all();
+            }
+            Command::Mute { on } => {
+                self.mute = on;
+                self.say_all();
+            }
+            Command::LeaveOut { servers } => {
+                self.left_out = servers;
+                self.say_all();
+            }
+            Command::Away { on } => {
+                self.hub.pause_listener(self.listener, on);
+                if on {
+                    let conns: std::collections::BTreeSet<ConnId> =
+                        self.streams.keys().map(|key| key.0).collect();
+                    conns.into_iter().for_each(|conn| self.hub.close(conn, true));
+                    self.streams.clear();
+                }
+            }
+            other => eprintln!("a registry cannot {other:?}"),
+        }
+    }
+}
--- a/crates/supervisor/src/core.rs
+++ b/crates/supervisor/src/core.rs
@@ -432,13 +432,19 @@
             (Planted::ColdInFull, Order::Line { table, server, .. }) if cold(server) => {
                 vec![Order::Line { table, server, weight: 1e4 }]
             }
-            (Planted::Flood, order @ Order::Line { .. }) => vec![order; 200],
             (Planted::EmptyTables, Order::Line { table, server, .. }) => {
                 vec![Order::Line { table, server, weight: 0.0 }]
             }
             (_, order) => vec![order],
         };
-        orders.into_iter().flat_map(bend).collect()
+        let mut orders: Vec<Order> = orders.into_iter().flat_map(bend).collect();
+        if fault == Planted::Flood {
+            orders.extend(self.tables.lines(0).map(|(server, weight)| {
+                let weight = if weight > 1.2 { 1.0 } else { 1.3 };
+                Order::Line { table: 0, server, weight }
+            }));
+        }
+        orders
     }
 
     /// Writes to a proxy all that changed since it was last written to.
@@ -446,7 +452,7 @@
         let Some(proxy) = self.proxies.get_mut(&id) else { return };
         proxy.again_at = None;
         let (ordered, mut serials) = proxy.due.take().unwrap_or((now, Vec::new()));
-        serials.extend(proxy.parked.drain(..));
+        serials.append(&mut proxy.parked);
         let Some(stream) = self.streams.get_mut(&proxy.peer) else { return };
         let tables = proxy.tables.clone();
         let mut said = Said { assignment: None, routes: None, serials, at: now };
--- a/crates/supervisor/src/tables.rs
+++ b/crates/supervisor/src/tables.rs
@@ -98,6 +98,13 @@
         }
     }
 
+    pub fn lines(&self, table: TableId) -> impl Iterator<Item = (ServerId, f64)> + '_ {
+        self.tables
+            .get(&table)
+            .into_iter()
+            .flat_map(|table| table.lines.iter().map(|(&server, &weight)| (server, weight)))
+    }
+
     pub fn lists(&self, table: TableId, server: ServerId) -> bool {
         self.tables.get(&table).is_some_and(|table| table.lines.contains_key(&server))
     }
--- a/crates/xds/src/assignment.rs
+++ b/crates/xds/src/assignment.rs
@@ -169,7 +169,7 @@
             policy,
             ..ClusterLoadAssignment::default()
         };
-        Any { type_url: types::ASSIGNMENT.into(), value: message.encode_to_vec().into() }
+        Any { type_url: types::ASSIGNMENT.into(), value: message.encode_to_vec() }
     }
 
     /// Errors: not an assignment, an endpoint without an address or with a weight of 0.
--- a/crates/xds/src/services.rs
+++ b/crates/xds/src/services.rs
@@ -46,10 +46,10 @@
         ..HttpConnectionManager::default()
     };
     let url = "type.googleapis.com/envoy.extensions.filters.network.http_connection_manager.v3.HttpConnectionManager";
-    let manager = Any { type_url: url.into(), value: manager.encode_to_vec().into() };
+    let manager = Any { type_url: url.into(), value: manager.encode_to_vec() };
     let api_listener = Some(ApiListener { api_listener: Some(manager) });
     let listener = Listener { name: name.into(), api_listener, ..Listener::default() };
-    Any { type_url: types::LISTENER.into(), value: listener.encode_to_vec().into() }
+    Any { type_url: types::LISTENER.into(), value: listener.encode_to_vec() }
 }
 
 /// A cluster whose endpoints are asked for by the operation's own name.
@@ -64,7 +64,7 @@
         lb_policy: LbPolicy::RoundRobin as i32,
         ..Cluster::default()
     };
-    Any { type_url: types::CLUSTER.into(), value: cluster.encode_to_vec().into() }
+    Any { type_url: types::CLUSTER.into(), value: cluster.encode_to_vec() }
 }
 
 fn retries(further: FurtherTry) -> Option<RetryPolicy> {
@@ -104,7 +104,7 @@
     };
     let routes =
         RouteConfiguration { name: name.into(), virtual_hosts: vec![host], ..RouteConfiguration::default() };
-    Any { type_url: types::ROUTES.into(), value: routes.encode_to_vec().into() }
+    Any { type_url: types::ROUTES.into(), value: routes.encode_to_vec() }
 }
 
 /// Client side: what the routes say of further tries, by operation.
