Measure publishing and reports; share encoded tables among proxies

Need: figures of what a drain costs from the list to the last ACK. shalereel measure publish drains servers under 40 forwarders and writes the same bytes over bare sockets in the same run; measure reports floods load reports.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 
 mod daemon_command;
 mod drill_command;
+mod measure_command;
 
 #[derive(Parser)]
 #[command(version, about = "Control service: tells plain forwarders by weighted tables where work goes")]
@@ -29,6 +30,9 @@
         #[arg(long)]
         keep: Option<PathBuf>,
     },
+    /// Measure what publishing and reports cost a supervisor.
+    #[command(subcommand)]
+    Measure(Measure),
     /// Run a supervisor; the same as `shalereeld`.
     Daemon(daemon_command::DaemonArguments),
     /// Play one stand-in, told by lines of JSON on the input.
@@ -38,6 +42,27 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Measure {
+    /// From a drain heard to the last forwarder's ACK, and from a start to all tables held, beside bare sockets.
+    Publish {
+        /// Servers x forwarders.
+        #[arg(default_values = ["20x12", "120x40", "400x150"])]
+        sizes: Vec<measure_command::Size>,
+        #[arg(long, default_value_t = 20)]
+        rounds: u32,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Load reports a second that one supervisor takes.
+    Reports {
+        #[arg(default_value = "120x40")]
+        size: measure_command::Size,
+        #[arg(long, default_value_t = 5)]
+        seconds: u32,
+    },
+}
+
 fn main() -> ExitCode {
     let failed = |error: anyhow::Error| {
         eprintln!("shalereel: {error:#}");
@@ -45,6 +70,13 @@
     };
     match Arguments::parse().command {
         Command::Drill { file, json, keep } => drill_command::drill(&file, json, keep).unwrap_or_else(failed),
+        Command::Measure(measure) => {
+            let result = match measure {
+                Measure::Publish { sizes, rounds, json } => measure_command::publish(&sizes, rounds, json),
+                Measure::Reports { size, seconds } => measure_command::reports(size, seconds),
+            };
+            result.map_or_else(failed, |()| ExitCode::SUCCESS)
+        }
         Command::Daemon(arguments) => daemon_command::daemon(&arguments).unwrap_or_else(failed),
         Command::StandIn { role } => match shalereel_standins::run(&role) {
             Ok(()) => ExitCode::SUCCESS,
--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -63,7 +63,7 @@
 /// A channel that is soon full.
 const NARROW: &[(&str, &str)] =
     &[("lines_per_s = 3000.0", "lines_per_s = 300.0"), ("backlog = 4400.0", "backlog = 600.0")];
-const DRAIN: &str = "at_s = 3.0, for_s = 6.0, kind = \"drain\", count = 2";
+const DRAIN: &str = "at_s = 3.0, for_s = 6.0, kind = \"drain\", count = 2, locality = \"hal-a\"";
 const SLOW: &str = "at_s = 3.0, for_s = 5.0, kind = \"slow\", count = 3, factor = 40.0";
 const RESTART: &str = "at_s = 3.0, for_s = 1.5, kind = \"crash\", count = 2";
 
@@ -75,7 +75,7 @@
         &[],
         &[
             "at_s = 1.0, for_s = 8.0, kind = \"ghost_reports\"",
-            "at_s = 2.0, for_s = 9.0, kind = \"misreport\", count = 1",
+            "at_s = 2.0, for_s = 9.0, kind = \"misreport\", count = 1, locality = \"hal-b\"",
             "at_s = 4.0, for_s = 1.0, kind = \"turn_down\", part = 0.5, factor = 2.0",
             DRAIN,
         ],
--- a/crates/reactor/src/socket.rs
+++ b/crates/reactor/src/socket.rs
@@ -1,4 +1,4 @@
-use std::io::{self, Read, Write};
+use std::io::{self, IoSlice, Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::{AsFd, BorrowedFd};
 use std::pin::Pin;
@@ -146,6 +146,18 @@
         polled(self.stream.write(buf))
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        pieces: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        polled(self.stream.write_vectored(pieces))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
--- a/crates/rpc/src/conn.rs
+++ b/crates/rpc/src/conn.rs
@@ -138,8 +138,12 @@
 
     /// Puts a message on a call; nothing happens where it is over.
     pub fn send(&mut self, stream: StreamId, message: &[u8]) {
+        self.send_framed(stream, frame(message));
+    }
+
+    /// Puts a message that [`frame`] has framed already, so that many calls share its bytes.
+    pub fn send_framed(&mut self, stream: StreamId, framed: Bytes) {
         if let Some(flow) = self.flows.get_mut(&stream) {
-            let framed = frame(message);
             flow.unread += framed.len();
             flow.waiting.push_back(framed);
         }
--- a/crates/rpc/src/hub.rs
+++ b/crates/rpc/src/hub.rs
@@ -165,6 +165,13 @@
         }
     }
 
+    /// See [`Conn::send_framed`].
+    pub fn send_framed(&mut self, conn: ConnId, stream: StreamId, framed: Bytes) {
+        if let Some(conn) = self.touch(conn) {
+            conn.send_framed(stream, framed);
+        }
+    }
+
     pub fn finish(&mut self, conn: ConnId, stream: StreamId, status: Status) {
         if let Some(conn) = self.touch(conn) {
             conn.finish(stream, status);
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -6,7 +6,7 @@
 use shalereel_reactor::{now, Token, MILLI};
 use shalereel_rpc::{ConnId, Hub, Input, Status, StreamId};
 use shalereel_xds::{
-    types, Asked, Assignment, Health, Resource, Row, ServerFacts, Serving, Variant, DELTA_ADS,
+    types, Asked, Assignment, Health, Resource, Response, Row, ServerFacts, Serving, Variant, DELTA_ADS,
 };
 
 use crate::plan::{Command, Listed, ListedAs, Ready, RegistryPlan};
@@ -116,8 +116,10 @@
         let version = self.version.to_string();
         let Some((serving, who)) = self.streams.get_mut(&to) else { return };
         let resource = Resource { name: FLEET.into(), version: version.clone(), any };
+        let resources = vec![resource];
+        let (type_url, removed, nonce) = (types::ASSIGNMENT, Vec::new(), self.version);
         let message =
-            serving.say(types::ASSIGNMENT, &version, vec![resource], Vec::new(), (self.version, time));
+            serving.say(Response { type_url, version: &version, resources, removed, nonce, stamp: time });
         let to_whom = who.clone();
         self.trace.put(&Seen::Said { at: time, to: to_whom, version: self.version, ready, draining, gone });
         self.hub.send(to.0, to.1, &message);
--- a/crates/supervisor/src/core.rs
+++ b/crates/supervisor/src/core.rs
@@ -3,12 +3,15 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use bytes::Bytes;
 use shalereel::brain::Brain;
-use shalereel::interface::{Event, Nanos, Order, ProbeEnding, ProxyId, RosterNews, ServerId, TableId};
-use shalereel_rpc::{Code, Status};
+use shalereel::interface::{
+    Event, FurtherTry, Nanos, Order, ProbeEnding, ProxyId, RosterNews, ServerId, TableId,
+};
+use shalereel_rpc::{frame, Code, Status};
 use shalereel_xds::{
-    cluster, listener, types, Asked, Assignment, LoadAnswer, LoadReport, NodeFacts, Resource, Serving,
-    Variant, SHUNNED,
+    cluster, listener, routes, types, Asked, Assignment, LoadAnswer, LoadReport, NodeFacts, Resource,
+    Response, Serving, Variant, SHUNNED,
 };
 
 use crate::channel::{Channel, Departure, Patience, Verdict};
@@ -28,9 +31,10 @@
 /// What the shell is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
+    /// A framed message; streams that are told the same share its bytes.
     Say {
         peer: Peer,
-        message: Vec<u8>,
+        message: Bytes,
     },
     End {
         peer: Peer,
@@ -47,8 +51,8 @@
     Remark(String),
     /// Something odd that costs nothing but a word.
     Odd(String),
-    /// The list has changed: keep it.
-    Remember(Vec<u8>),
+    /// The list has changed: [`Core::remember`] is to be kept, soon.
+    Remember,
 }
 
 /// A group of responses said together, and the marks that their answers confirm.
@@ -66,6 +70,41 @@
     }
 }
 
+/// Of a table, and of the places of its servers.
+type Version = (u64, u64);
+
+/// What a resource is made of.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Part {
+    Shunned,
+    Table(TableId, u16),
+    Routes(Vec<FurtherTry>),
+}
+
+/// Streams of one kind that are told the same parts of what was ordered at one time.
+type Group = (bool, Nanos, Vec<(Part, Version)>);
+
+fn render(
+    tables: &mut Tables,
+    roster: &Roster,
+    operations: &[String],
+    part: &Part,
+    version: Version,
+) -> Resource {
+    let (name, any) = match part {
+        Part::Shunned => (SHUNNED, tables.shunned(roster)),
+        Part::Table(table, at) => {
+            let name = &operations[usize::from(*at)];
+            (name.as_str(), tables.assignment(*table, *at, name, roster))
+        }
+        Part::Routes(ways) => {
+            let each = operations.iter().map(String::as_str).zip(ways.iter().copied());
+            (LISTENER, routes(LISTENER, PREFIX, each))
+        }
+    };
+    Resource { name: name.to_owned(), version: format!("{}.{}", version.0, version.1), any }
+}
+
 /// A joined proxy.
 #[derive(Debug)]
 struct Proxy {
@@ -76,7 +115,7 @@
     due: Option<(Nanos, Vec<(u16, Nanos)>)>,
     said: VecDeque<Said>,
     /// Versions of the resources written last.
-    told: BTreeMap<String, (u64, u64)>,
+    told: BTreeMap<String, Version>,
     turned_down: u32,
     /// Marks of what it turned down, and when that is said again.
     parked: Vec<(u16, Nanos)>,
@@ -107,6 +146,8 @@
     timers: BTreeMap<(Nanos, u64), u64>,
     events: Vec<Event>,
     effects: Vec<Effect>,
+    /// What was said this turn: its nonce and its bytes.
+    shared: BTreeMap<Group, (u64, Bytes)>,
     nonce: u64,
     identity: String,
     reported: Nanos,
@@ -131,6 +172,7 @@
             timers: BTreeMap::new(),
             events: Vec::new(),
             effects: Vec::new(),
+            shared: BTreeMap::new(),
             nonce: 0,
             identity: format!("shalereel/{}", facts.supervisor),
             reported: now,
@@ -179,7 +221,7 @@
             let first = self.loads.insert(peer, proxy.map(|proxy| (proxy, locality)));
             if first == Some(None) {
                 let answer = LoadAnswer { interval: self.deployment.facts.report_cycle, by_endpoint: true };
-                self.effects.push(Effect::Say { peer, message: answer.encode() });
+                self.effects.push(Effect::Say { peer, message: frame(&answer.encode()) });
             }
         }
         // Reports of proxies that are not ours, or no longer, tell of tables that are not ours.
@@ -274,7 +316,7 @@
         let mut odd = Vec::new();
         let news = self.roster.hear(now, list, &mut odd);
         self.effects.extend(odd.into_iter().map(|text| Effect::Odd(format!("the list: {text}; left out"))));
-        self.effects.push(Effect::Remember(self.roster.remember()));
+        self.effects.push(Effect::Remember);
         self.events.push(Event::Roster(news));
     }
 
@@ -283,6 +325,11 @@
         self.events.push(Event::Roster(RosterNews::Failed));
     }
 
+    /// The list as last heard, for [`Core::new`] after a restart.
+    pub fn remember(&self) -> Vec<u8> {
+        self.roster.remember()
+    }
+
     pub fn probed(&mut self, server: ServerId, ending: ProbeEnding, took: Nanos) {
         self.events.push(Event::Probed { server, ending, took, load: Vec::new() });
     }
@@ -338,6 +385,7 @@
         for id in ready {
             self.write(now, id);
         }
+        self.shared.clear();
         std::mem::take(&mut self.effects)
     }
 
@@ -422,12 +470,7 @@
                 vec![]
             }
             (Planted::RepeatAll, Order::Gate { table, operations, amount, .. }) => {
-                vec![Order::Gate {
-                    table,
-                    operations,
-                    amount,
-                    further: shalereel::interface::FurtherTry::Twice,
-                }]
+                vec![Order::Gate { table, operations, amount, further: FurtherTry::Twice }]
             }
             (Planted::ColdInFull, Order::Line { table, server, .. }) if cold(server) => {
                 vec![Order::Line { table, server, weight: 1e4 }]
@@ -456,52 +499,60 @@
         let Some(stream) = self.streams.get_mut(&proxy.peer) else { return };
         let tables = proxy.tables.clone();
         let mut said = Said { assignment: None, routes: None, serials, at: now };
-        let mut resources = Vec::new();
-        let mut changed = |name: &str, version: (u64, u64)| {
+        let mut changed = |name: &str, version: Version| {
             let old = proxy.told.get(name).copied();
             (old != Some(version)).then(|| proxy.told.insert(name.to_owned(), version)).is_some()
         };
+        let mut parts: Vec<(Part, Version)> = Vec::new();
         let shun = (self.tables.shunned_version(), self.roster.version());
         if stream.serving.wants(types::ASSIGNMENT, SHUNNED) && shun.0 > 0 && changed(SHUNNED, shun) {
-            let (name, any) = (SHUNNED.to_owned(), self.tables.shunned(&self.roster));
-            resources.push(Resource { name, version: shun.0.to_string(), any });
+            parts.push((Part::Shunned, shun));
         }
         for (&at, &table) in &tables {
             let name = &self.deployment.operations[usize::from(at)];
             let version = (self.tables.version(table), self.roster.version());
             if stream.serving.wants(types::ASSIGNMENT, name) && changed(name, version) {
-                let any = self.tables.assignment(table, at, name, &self.roster);
-                resources.push(Resource {
-                    name: name.clone(),
-                    version: format!("{}.{}", version.0, version.1),
-                    any,
-                });
+                parts.push((Part::Table(table, at), version));
             }
         }
-        let version = format!("{}-{}", self.tables.shunned_version(), self.nonce);
-        if !resources.is_empty() {
-            self.nonce += 1;
-            said.assignment = Some(self.nonce);
-            let stamp = (self.nonce, ordered);
-            let message = stream.serving.say(types::ASSIGNMENT, &version, resources, Vec::new(), stamp);
-            self.effects.push(Effect::Say { peer: proxy.peer, message });
-        }
-        let further = |at: &u16| tables.get(at).map(|&table| self.tables.further(table, *at));
-        let ways: Vec<u64> = (0..self.deployment.operations.len() as u16)
-            .map(|at| further(&at).map_or(0, |way| way as u64))
+        let operations = 0..self.deployment.operations.len() as u16;
+        let ways: Vec<FurtherTry> = operations
+            .map(|at| tables.get(&at).map_or(FurtherTry::Never, |&table| self.tables.further(table, at)))
             .collect();
-        let ways = ways.iter().fold(1, |sum, way| sum * 4 + way);
-        if !tables.is_empty()
-            && stream.serving.wants(types::ROUTES, LISTENER)
-            && changed(types::ROUTES, (ways, 0))
-        {
-            self.nonce += 1;
-            said.routes = Some(self.nonce);
-            let names = &self.deployment.operations;
-            let any = self.tables.routes(LISTENER, PREFIX, names, |at| tables.get(&at).copied());
-            let resource = Resource { name: LISTENER.into(), version: ways.to_string(), any };
-            let stamp = (self.nonce, ordered);
-            let message = stream.serving.say(types::ROUTES, &version, vec![resource], Vec::new(), stamp);
+        let number = ways.iter().fold(1, |sum, &way| sum * 4 + way as u64);
+        let routed = !tables.is_empty() && stream.serving.wants(types::ROUTES, LISTENER);
+        let routes = routed && changed(types::ROUTES, (number, 0));
+        let variant = stream.serving.variant();
+        for (type_url, parts) in [
+            (types::ASSIGNMENT, parts),
+            (types::ROUTES, if routes { vec![(Part::Routes(ways), (number, 0))] } else { Vec::new() }),
+        ] {
+            if parts.is_empty() {
+                continue;
+            }
+            let group = (variant == Variant::Incremental, ordered, parts);
+            let (nonce, message) = match self.shared.get(&group) {
+                Some(shared) => shared.clone(),
+                None => {
+                    self.nonce += 1;
+                    let resources = group.2.iter().map(|(part, version)| {
+                        render(&mut self.tables, &self.roster, &self.deployment.operations, part, *version)
+                    });
+                    let response = Response {
+                        type_url,
+                        version: &self.nonce.to_string(),
+                        resources: resources.collect(),
+                        removed: Vec::new(),
+                        nonce: self.nonce,
+                        stamp: ordered,
+                    };
+                    let shared = (self.nonce, frame(&response.encode(variant, &self.identity)));
+                    self.shared.insert(group, shared.clone());
+                    shared
+                }
+            };
+            stream.serving.expect(type_url, nonce);
+            *if type_url == types::ROUTES { &mut said.routes } else { &mut said.assignment } = Some(nonce);
             self.effects.push(Effect::Say { peer: proxy.peer, message });
         }
         proxy.said.push_back(said);
@@ -562,8 +613,9 @@
             && (type_url != types::ASSIGNMENT && type_url != types::ROUTES || !missing.is_empty())
         {
             self.nonce += 1;
-            let stamp = (self.nonce, now);
-            let message = stream.serving.say(type_url, "1", resources, missing, stamp);
+            let (nonce, removed) = (self.nonce, missing);
+            let response = Response { type_url, version: "1", resources, removed, nonce, stamp: now };
+            let message = frame(&stream.serving.say(response));
             self.effects.push(Effect::Say { peer, message });
         }
     }
--- a/crates/supervisor/src/daemon.rs
+++ b/crates/supervisor/src/daemon.rs
@@ -33,6 +33,7 @@
 
 enum Key {
     Dial,
+    Keep,
     ProbeLate(ConnId),
 }
 
@@ -53,6 +54,7 @@
     list: Subscribing,
     listening: bool,
     probes: BTreeMap<ConnId, (ServerId, Nanos)>,
+    to_keep: bool,
     stopping: bool,
 }
 
@@ -90,6 +92,7 @@
         list: Subscribing::new(Variant::StateOfTheWorld, node),
         listening: pushed,
         probes: BTreeMap::new(),
+        to_keep: false,
         stopping: false,
         deployment,
     };
@@ -142,6 +145,7 @@
             Input::Ended { conn, stream, status } => self.over(conn, stream, &status.to_string()),
             Input::Closed { conn, why } => self.closed(conn, &why),
             Input::Due(Key::Dial) => self.dial(),
+            Input::Due(Key::Keep) => self.keep(),
             Input::Due(Key::ProbeLate(conn)) => {
                 if let Some(&(server, _)) = self.probes.get(&conn) {
                     self.probe_over(conn, server, ProbeEnding::TimedOut);
@@ -204,7 +208,7 @@
         match effect {
             Effect::Say { peer, message } => {
                 if let Some(&(conn, stream)) = self.peers.get(&peer) {
-                    self.hub.send(conn, stream, &message);
+                    self.hub.send_framed(conn, stream, message);
                 }
             }
             Effect::End { peer, status } => {
@@ -239,9 +243,10 @@
             Effect::Probe { server, address } => self.probe(server, address),
             Effect::Remark(line) => tracing::info!(remark = line),
             Effect::Odd(line) => tracing::warn!("{line}"),
-            Effect::Remember(list) => {
-                if let Err(error) = keep(&self.deployment.folder, &list) {
-                    tracing::warn!(%error, "the list could not be kept");
+            Effect::Remember => {
+                // Off the publishing path: what follows from the list leaves first.
+                if !std::mem::replace(&mut self.to_keep, true) {
+                    self.hub.set(now() + self.deployment.facts.report_cycle / 4, Key::Keep);
                 }
             }
         }
@@ -332,8 +337,18 @@
         }
     }
 
+    fn keep(&mut self) {
+        if !std::mem::take(&mut self.to_keep) {
+            return;
+        }
+        if let Err(error) = keep(&self.deployment.folder, &self.core.remember()) {
+            tracing::warn!(%error, "the list could not be kept");
+        }
+    }
+
     /// Ends all streams with a status, so that proxies dial another supervisor at once.
     fn part(&mut self) {
+        self.keep();
         for (conn, stream) in std::mem::take(&mut self.peers).into_values() {
             self.hub.finish(conn, stream, Status::new(Code::Unavailable, "this supervisor stops"));
         }
--- a/crates/supervisor/src/tables.rs
+++ b/crates/supervisor/src/tables.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use shalereel::interface::{FurtherTry, Order, ServerId, TableId};
-use shalereel_xds::{routes, Any, Assignment, Health, Row, SHUNNED};
+use shalereel_xds::{Any, Assignment, Body, Health, Row, SHUNNED};
 
 use crate::roster::Roster;
 
@@ -36,7 +36,8 @@
     suspended: BTreeSet<ServerId>,
     shunned_version: u64,
     last: u64,
-    rendered: BTreeMap<(TableId, OperationAt), ((u64, u64), Any)>,
+    /// Encoded tables by level; operations with one level differ in the name alone.
+    rendered: BTreeMap<(TableId, u64), ((u64, u64), Body)>,
 }
 
 impl Tables {
@@ -138,35 +139,21 @@
         self.level(table, at).map_or(FurtherTry::Never, |level| level.1)
     }
 
-    pub fn routes(
-        &self,
-        listener: &str,
-        prefix: &str,
-        names: &[String],
-        table: impl Fn(u16) -> Option<TableId>,
-    ) -> Any {
-        let further = |at: u16| table(at).map_or(FurtherTry::Never, |table| self.further(table, at));
-        routes(
-            listener,
-            prefix,
-            names.iter().enumerate().map(|(at, name)| (name.as_str(), further(at as u16))),
-        )
-    }
-
     /// A table as the endpoints of an operation's cluster; kept until it changes, since many hold the same.
     pub fn assignment(&mut self, table: TableId, at: OperationAt, name: &str, roster: &Roster) -> Any {
         let version = (self.version(table), roster.version());
-        if let Some((of, any)) = self.rendered.get(&(table, at)) {
-            if *of == version {
-                return any.clone();
-            }
-        }
-        let held = self.tables.get(&table).cloned().unwrap_or_default();
-        let rows = held.lines.iter().filter_map(|(server, weight)| self.row(*server, *weight, roster));
         let admitted = self.level(table, at).map_or(1.0, |level| level.0);
-        let any = Assignment { cluster: name.to_owned(), rows: rows.collect(), admitted }.encode();
-        self.rendered.insert((table, at), (version, any.clone()));
-        any
+        let key = (table, admitted.to_bits());
+        let fresh = self.rendered.get(&key).is_some_and(|(of, _)| *of == version);
+        if !fresh {
+            let lines = self.tables.get(&table).into_iter().flat_map(|table| &table.lines);
+            let rows = lines.filter_map(|(server, weight)| self.row(*server, *weight, roster)).collect();
+            let body = Assignment { cluster: String::new(), rows, admitted }.body();
+            // Levels that no operation has any more are not kept.
+            self.rendered.retain(|other, (of, _)| other.0 != table || *of == version);
+            self.rendered.insert(key, (version, body));
+        }
+        self.rendered.get(&key).map(|(_, body)| body.named(name)).unwrap_or_default()
     }
 
     fn row(&self, server: ServerId, weight: f64, roster: &Roster) -> Option<Row> {
--- a/crates/xds/src/assignment.rs
+++ b/crates/xds/src/assignment.rs
@@ -13,15 +13,16 @@
     ClusterLoadAssignment, Endpoint, LbEndpoint, LocalityLbEndpoints,
 };
 use xds_api::pb::envoy::r#type::v3::{fractional_percent::DenominatorType, FractionalPercent};
-use xds_api::pb::google::protobuf::{value::Kind, Any, Struct, UInt32Value, Value};
+use xds_api::pb::google::protobuf::{Any, UInt32Value};
 
 use crate::{decoded, types};
 
 /// Name of the resource that lists the endpoints nobody may send to, whatever tables say. The one resource
 /// that the specification does not know: a client that does not ask for it learns the same from its tables.
 pub const SHUNNED: &str = "shalereel.shunned";
-/// Metadata filter that carries [`ServerFacts`].
+/// Metadata filter that carries [`ServerFacts`], as a message of this type.
 const FACTS: &str = "shalereel.server";
+const FACTS_TYPE: &str = "type.googleapis.com/shalereel.v1.ServerFacts";
 /// Category of the drops that carry a level.
 const LEVEL: &str = "level";
 /// A weight of 1 on the wire, where weights are whole numbers from 1 up.
@@ -35,6 +36,22 @@
     Unhealthy,
 }
 
+/// [`ServerFacts`] on the wire.
+#[derive(Clone, PartialEq, Message)]
+struct FactsMessage {
+    #[prost(uint32, tag = "1")]
+    server: u32,
+    #[prost(uint32, tag = "2")]
+    kind: u32,
+    #[prost(uint32, tag = "3")]
+    cell: u32,
+    #[prost(uint64, tag = "4")]
+    incarnation: u64,
+    /// Milliseconds since that start as of sending; absent: long ago.
+    #[prost(uint64, optional, tag = "5")]
+    age_ms: Option<u64>,
+}
+
 /// What a registry says of a server beyond what the specification has fields for.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServerFacts {
@@ -85,42 +102,54 @@
 
 impl ServerFacts {
     fn encode(self) -> Metadata {
-        let number = |number: f64| Value { kind: Some(Kind::NumberValue(number)) };
-        let mut fields = HashMap::from([
-            ("server".to_owned(), number(self.server.into())),
-            ("kind".to_owned(), number(self.kind.into())),
-            ("cell".to_owned(), number(self.cell.into())),
-            // A double holds 53 bits; a text holds them all.
-            ("incarnation".to_owned(), Value { kind: Some(Kind::StringValue(self.incarnation.to_string())) }),
-        ]);
-        let age = self.age.map(|age| ("age_ms".to_owned(), number((age / 1_000_000) as f64)));
-        fields.extend(age);
-        let filter_metadata = HashMap::from([(FACTS.to_owned(), Struct { fields })]);
-        Metadata { filter_metadata, ..Metadata::default() }
+        let message = FactsMessage {
+            server: self.server,
+            kind: self.kind.into(),
+            cell: self.cell.into(),
+            incarnation: self.incarnation,
+            age_ms: self.age.map(|age| age / 1_000_000),
+        };
+        let any = Any { type_url: FACTS_TYPE.into(), value: message.encode_to_vec() };
+        Metadata { typed_filter_metadata: HashMap::from([(FACTS.to_owned(), any)]), ..Metadata::default() }
     }
 
     fn decode(metadata: &Metadata) -> Option<Self> {
-        let fields = &metadata.filter_metadata.get(FACTS)?.fields;
-        let number = |name: &str| match fields.get(name)?.kind {
-            Some(Kind::NumberValue(number)) if number >= 0.0 => Some(number),
-            _ => None,
-        };
-        let incarnation = match fields.get("incarnation").and_then(|value| value.kind.as_ref()) {
-            Some(Kind::StringValue(text)) => text.parse().ok()?,
-            _ => 0,
-        };
+        let any = metadata.typed_filter_metadata.get(FACTS).filter(|any| any.type_url == FACTS_TYPE)?;
+        let message = FactsMessage::decode(&any.value[..]).ok()?;
         Some(ServerFacts {
-            server: number("server")? as u32,
-            kind: number("kind").unwrap_or(0.0) as u16,
-            cell: number("cell").unwrap_or(0.0) as u16,
-            incarnation,
-            age: number("age_ms").map(|age| age as Nanos * 1_000_000),
+            server: message.server,
+            kind: u16::try_from(message.kind).ok()?,
+            cell: u16::try_from(message.cell).ok()?,
+            incarnation: message.incarnation,
+            age: message.age_ms.map(|age| age.saturating_mul(1_000_000)),
         })
     }
 }
 
+/// An encoded assignment but for its name; protobuf fields may come in any order and be put one after another.
+#[derive(Clone, Debug)]
+pub struct Body(Vec<u8>);
+
+impl Body {
+    /// The assignment of the cluster with this name.
+    pub fn named(&self, cluster: &str) -> Any {
+        let name =
+            ClusterLoadAssignment { cluster_name: cluster.to_owned(), ..ClusterLoadAssignment::default() };
+        let mut value = Vec::with_capacity(name.encoded_len() + self.0.len());
+        // A vector takes all that is put into it.
+        let _ = name.encode(&mut value);
+        value.extend_from_slice(&self.0);
+        Any { type_url: types::ASSIGNMENT.into(), value }
+    }
+}
+
 impl Assignment {
     pub fn encode(&self) -> Any {
+        self.body().named(&self.cluster)
+    }
+
+    /// All but the name, to be shared by clusters that have the same rows and level.
+    pub fn body(&self) -> Body {
         let sum: f64 = self.rows.iter().map(|row| row.weight).sum();
         // The specification bounds the sum of a priority's weights by 32 bits.
         let unit = UNIT.min(f64::from(u32::MAX / 2) / sum.max(f64::MIN_POSITIVE));
@@ -163,13 +192,9 @@
             }),
         };
         let policy = (dropped > 0.0).then(|| Policy { drop_overloads: vec![drops], ..Policy::default() });
-        let message = ClusterLoadAssignment {
-            cluster_name: self.cluster.clone(),
-            endpoints: endpoints.collect(),
-            policy,
-            ..ClusterLoadAssignment::default()
-        };
-        Any { type_url: types::ASSIGNMENT.into(), value: message.encode_to_vec() }
+        let endpoints = endpoints.collect();
+        let message = ClusterLoadAssignment { endpoints, policy, ..ClusterLoadAssignment::default() };
+        Body(message.encode_to_vec())
     }
 
     /// Errors: not an assignment, an endpoint without an address or with a weight of 0.
--- a/crates/xds/src/lib.rs
+++ b/crates/xds/src/lib.rs
@@ -9,11 +9,11 @@
 mod services;
 mod stream;
 
-pub use assignment::{Assignment, Health, Row, ServerFacts, SHUNNED};
+pub use assignment::{Assignment, Body, Health, Row, ServerFacts, SHUNNED};
 pub use load::{ClusterLoad, EndpointLoad, LoadAnswer, LoadReport, ANSWER_TIME};
 pub use node::NodeFacts;
 pub use services::{cluster, listener, read_retries, routes};
-pub use stream::{Asked, Resource, Serving, Subscribing, Update, Variant};
+pub use stream::{Asked, Resource, Response, Serving, Subscribing, Update, Variant};
 
 use shalereel_rpc::{Code, Status};
 pub use xds_api::pb::google::protobuf::Any;
--- a/crates/xds/src/stream.rs
+++ b/crates/xds/src/stream.rs
@@ -152,36 +152,59 @@
         self.wanted.get(type_url).is_some_and(|wanted| wanted.all || wanted.names.contains(name))
     }
 
-    /// A response with these resources. `nonce` grows from one to the next; `stamp` goes with it for whoever
-    /// reads traffic, and means nothing to a client.
-    pub fn say(
-        &mut self,
-        type_url: &str,
-        version: &str,
-        resources: Vec<Resource>,
-        removed: Vec<String>,
-        (nonce, stamp): (u64, u64),
-    ) -> Vec<u8> {
+    /// A response with this nonce is on its way. Nonces grow from one to the next.
+    pub fn expect(&mut self, type_url: &str, nonce: u64) {
         let wanted = self.wanted.entry(type_url.to_owned()).or_default();
         wanted.unanswered.push_back(nonce);
         if wanted.unanswered.len() > UNANSWERED {
             wanted.unanswered.pop_front();
         }
-        let nonce = format!("{nonce}@{stamp}");
-        let control_plane = Some(ControlPlane { identifier: self.identity.clone() });
-        match self.variant {
+    }
+
+    pub fn variant(&self) -> Variant {
+        self.variant
+    }
+
+    /// One response to this stream alone.
+    pub fn say(&mut self, response: Response) -> Vec<u8> {
+        self.expect(response.type_url, response.nonce);
+        response.encode(self.variant, &self.identity)
+    }
+}
+
+/// A response; streams that are told the same share its bytes, since nonces need only differ within a stream.
+#[derive(Clone, Debug)]
+pub struct Response<'a> {
+    pub type_url: &'a str,
+    pub version: &'a str,
+    pub resources: Vec<Resource>,
+    /// Incremental only: names of what is no more, or never was.
+    pub removed: Vec<String>,
+    pub nonce: u64,
+    /// When it was ordered, for whoever reads traffic; it means nothing to a client.
+    pub stamp: u64,
+}
+
+impl Response<'_> {
+    /// `identity` goes out as `control_plane.identifier`.
+    pub fn encode(self, variant: Variant, identity: &str) -> Vec<u8> {
+        let nonce = format!("{}@{}", self.nonce, self.stamp);
+        let control_plane = Some(ControlPlane { identifier: identity.to_owned() });
+        let (version, type_url) = (self.version.to_owned(), self.type_url.to_owned());
+        match variant {
             Variant::StateOfTheWorld => DiscoveryResponse {
-                version_info: version.to_owned(),
-                resources: resources.into_iter().map(|resource| resource.any).collect(),
-                type_url: type_url.to_owned(),
+                version_info: version,
+                resources: self.resources.into_iter().map(|resource| resource.any).collect(),
+                type_url,
                 nonce,
                 control_plane,
                 ..DiscoveryResponse::default()
             }
             .encode_to_vec(),
             Variant::Incremental => DeltaDiscoveryResponse {
-                system_version_info: version.to_owned(),
-                resources: resources
+                system_version_info: version,
+                resources: self
+                    .resources
                     .into_iter()
                     .map(|resource| discovery::Resource {
                         name: resource.name,
@@ -190,8 +213,8 @@
                         ..discovery::Resource::default()
                     })
                     .collect(),
-                type_url: type_url.to_owned(),
-                removed_resources: removed,
+                type_url,
+                removed_resources: self.removed,
                 nonce,
                 control_plane,
                 ..DeltaDiscoveryResponse::default()
@@ -214,7 +237,7 @@
 }
 
 impl Update {
-    /// The number and the stamp in the nonce, where it came from [`Serving::say`].
+    /// The number and the stamp in the nonce, where it came from a [`Response`].
     pub fn stamp(&self) -> Option<(u64, u64)> {
         let (number, stamp) = self.nonce.split_once('@')?;
         Some((number.parse().ok()?, stamp.parse().ok()?))
--- a/crates/xds/tests/bytes.rs
+++ b/crates/xds/tests/bytes.rs
@@ -40,6 +40,10 @@
     Row { address, zone: "a".into(), health, weight, facts: None }
 }
 
+fn response(version: &str, resources: Vec<Resource>, nonce: u64, stamp: u64) -> Response<'_> {
+    Response { type_url: types::ASSIGNMENT, version, resources, removed: Vec::new(), nonce, stamp }
+}
+
 #[test]
 fn a_request_by_hand_is_understood_and_answered_by_the_book() {
     let mut serving = Serving::new(Variant::StateOfTheWorld, "us");
@@ -51,7 +55,7 @@
     let table =
         Assignment { cluster: "x".into(), rows: vec![row(80, 0.0002, Health::Draining)], admitted: 0.75 };
     let resource = Resource { name: "x".into(), version: "1".into(), any: table.encode() };
-    let said = serving.say(types::ASSIGNMENT, "v1", vec![resource], vec![], (5, 77));
+    let said = serving.say(response("v1", vec![resource], 5, 77));
     // ClusterLoadAssignment { cluster_name = 1, endpoints = 2, policy = 4 }.
     let socket = [field(2, "127.0.0.1"), varint(3, 80)].concat();
     let endpoint = [
@@ -76,7 +80,7 @@
         [field(1, "v1"), field(3, "x"), field(3, "y"), long(4, types::ASSIGNMENT), field(5, "5@77")].concat();
     assert_eq!(serving.hear(&ack).unwrap(), [Asked::Holds { type_url: type_url.clone(), nonce: 5 }]);
     // NACK of the next: error_detail = 6 { message = 2 }.
-    serving.say(types::ASSIGNMENT, "v2", vec![], vec![], (9, 0));
+    serving.say(response("v2", vec![], 9, 0));
     let nack = [ack[..ack.len() - 6].to_vec(), field(5, "9@0"), field(6, field(2, "no"))].concat();
     assert_eq!(
         serving.hear(&nack).unwrap(),
@@ -115,13 +119,13 @@
         assert!(serving.wants(types::ASSIGNMENT, "x") && !serving.wants(types::ASSIGNMENT, "z"));
         let table = Assignment { cluster: "x".into(), rows: vec![row(1, 1.5, Health::Ready)], admitted: 1.0 };
         let resource = Resource { name: "x".into(), version: "7".into(), any: table.encode() };
-        let said = serving.say(types::ASSIGNMENT, "v", vec![resource], vec![], (round + 1, 99));
+        let said = serving.say(response("v", vec![resource], round + 1, 99));
         let update = client.hear(&said).unwrap();
         assert_eq!((update.stamp(), update.from.as_str()), (Some((round + 1, 99)), "us"));
         assert_eq!(Assignment::decode(&update.resources[0]).unwrap(), table);
         let holds = Asked::Holds { type_url: types::ASSIGNMENT.into(), nonce: round + 1 };
         assert_eq!(serving.hear(&client.accept(&update)).unwrap(), [holds]);
-        let again = serving.say(types::ASSIGNMENT, "w", vec![], vec![], (round + 2, 0));
+        let again = serving.say(response("w", vec![], round + 2, 0));
         let update = client.hear(&again).unwrap();
         let answer = serving.hear(&client.turn_down(&update, "no".into())).unwrap();
         assert!(matches!(&answer[..], [Asked::TurnedDown { why, .. }] if why == "no"));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -186,7 +186,7 @@
 }
 
 /// When a proxy tries another server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum FurtherTry {
     Never,
     /// One, after proof that the first never ran.
