--- a/crates/cli/src/drill_command.rs
+++ b/crates/cli/src/drill_command.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use anyhow::{Context, Result};
-use shalereel_drill::{as_json, as_text, play, Day};
+use shalereel_drill::{as_json, as_text, from_bench, play, Day};
 
 /// Exit 0: the day stands; 1: it does not.
 pub fn drill(file: &Path, json: bool, keep: Option<PathBuf>) -> Result<ExitCode> {
@@ -34,3 +34,9 @@
     println!("{}", if json { as_json(&verdict) } else { as_text(&verdict) });
     Ok(if verdict.stands() { ExitCode::SUCCESS } else { ExitCode::from(1) })
 }
+
+pub fn drill_from(day: &Path, fleet: &Path) -> Result<()> {
+    let read = |file: &Path| std::fs::read_to_string(file).with_context(|| file.display().to_string());
+    print!("{}", from_bench(&read(day)?, &read(fleet)?)?);
+    Ok(())
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -30,6 +30,14 @@
         #[arg(long)]
         keep: Option<PathBuf>,
     },
+    /// Turn the troubles of a bench day into a drill, printed on the output.
+    DrillFrom {
+        /// The day, as the bench's `draw` prints it.
+        day: PathBuf,
+        /// A drill whose fleet, demand and rules are taken.
+        #[arg(long, default_value = "drills/bad-day.toml")]
+        fleet: PathBuf,
+    },
     /// Measure what publishing and reports cost a supervisor.
     #[command(subcommand)]
     Measure(Measure),
@@ -70,6 +78,9 @@
     };
     match Arguments::parse().command {
         Command::Drill { file, json, keep } => drill_command::drill(&file, json, keep).unwrap_or_else(failed),
+        Command::DrillFrom { day, fleet } => {
+            drill_command::drill_from(&day, &fleet).map_or_else(failed, |()| ExitCode::SUCCESS)
+        }
         Command::Measure(measure) => {
             let result = match measure {
                 Measure::Publish { sizes, rounds, json } => measure_command::publish(&sizes, rounds, json),
--- a/crates/drill/src/day.rs
+++ b/crates/drill/src/day.rs
@@ -156,6 +156,7 @@
     FastErrors,
     Neighbour,
     SharedSlow,
+    FalseReports,
     Misreport,
     Drain,
     Deploy,
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -1,11 +1,13 @@
 //! A day from a script on real sockets and real processes, judged by its traffic alone.
 
+mod bench;
 mod day;
 mod judge;
 mod play;
 mod report;
 mod stage;
 
+pub use bench::from_bench;
 pub use day::{Day, DayError, Trouble};
 pub use judge::{judge, Breach, Measure, Rule, Verdict, Window};
 pub use play::play;
--- a/crates/drill/src/play.rs
+++ b/crates/drill/src/play.rs
@@ -120,7 +120,7 @@
                 let servers = self.servers(trouble);
                 self.crash(servers, from, to);
             }
-            Silence | Hang | Misreport => {
+            Silence | Hang | FalseReports | Misreport => {
                 let servers = self.servers(trouble);
                 let command = |on| match trouble.kind {
                     Silence => Command::Silence { servers: servers.clone(), on },
--- /dev/null
+++ b/crates/supervisor/tests/core.rs
@@ -0,0 +1,297 @@
+//! A supervisor without sockets: streams as clients open them, lists as a registry says them.
+
+use std::path::Path;
+
+use rstest::rstest;
+use shalereel_reactor::{Nanos, MILLI, SECOND};
+use shalereel_rpc::{Code, Framer};
+use shalereel_supervisor::{Core, Deployment, Effect, Peer, LISTENER};
+use shalereel_xds::*;
+
+const FILE: &str = r#"
+listen = "127.0.0.1:0"
+registry = "127.0.0.1:1"
+folder = "/nowhere"
+supervisor = 0
+supervisors = 1
+locality = "a"
+localities = ["a", "b"]
+tick_ms = 1.0
+
+[list]
+membership = "pushed"
+sizes = "nominal"
+
+[forwarders]
+count = 4
+admission = "ignored"
+report_cycle_ms = 1000.0
+first_wait = 1.0
+
+[channel]
+lines_per_s = 1000.0
+backlog = 2000.0
+message_overhead = 10.0
+mean_transit_ms = 10.0
+worst_transit_ms = 100.0
+paced = true
+
+[rules]
+empty_for_ms = 2000.0
+drain_grace_ms = 2000.0
+cold_from = 0.25
+cold_for_ms = 8000.0
+tip_multiple = 2.5
+tip_after_ms = 2000.0
+
+[[operation]]
+name = "view"
+effect = "idempotent"
+latency_objective_ms = 1000.0
+integration_timeout_ms = 3000.0
+billed_value = 1.0
+
+[[operation]]
+name = "order"
+effect = "side_effecting"
+latency_objective_ms = 1000.0
+integration_timeout_ms = 3000.0
+billed_value = 5.0
+"#;
+
+/// A core with a clock, and what it said to each peer.
+struct World {
+    core: Core,
+    now: Nanos,
+    said: Vec<(Peer, Vec<u8>)>,
+    ended: Vec<(Peer, Code)>,
+}
+
+impl World {
+    fn new(kept: Option<&[u8]>) -> Self {
+        let deployment = Deployment::parse(Path::new("file"), FILE).unwrap();
+        let mut world =
+            World { core: Core::new(deployment, SECOND, kept), now: SECOND, said: vec![], ended: vec![] };
+        world.run(1);
+        world
+    }
+
+    fn run(&mut self, ms: u64) {
+        for _ in 0..ms {
+            self.now += MILLI;
+            for effect in self.core.turn(self.now, |_| false) {
+                match effect {
+                    Effect::Say { peer, message } => {
+                        let mut framer = Framer::new(1 << 20);
+                        framer.push(&message);
+                        self.said.push((peer, framer.take().unwrap().unwrap().to_vec()));
+                    }
+                    Effect::End { peer, status } => self.ended.push((peer, status.code)),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn list(&mut self, draining: &[u32]) {
+        let row = |server: u32| Row {
+            address: ([127, 1, 0, server as u8], 80).into(),
+            zone: "a".into(),
+            health: if draining.contains(&server) { Health::Draining } else { Health::Ready },
+            weight: 1.0,
+            facts: Some(ServerFacts { server, kind: 0, cell: 0, incarnation: 1, age: None }),
+        };
+        let list = Assignment { cluster: "fleet".into(), rows: (1..6).map(row).collect(), admitted: 1.0 };
+        self.core.listed(self.now, &list);
+    }
+
+    fn open(&mut self, peer: Peer, id: &str, variant: Variant) -> Subscribing {
+        self.core.opened(peer, variant);
+        Subscribing::new(variant, NodeFacts { id: id.into(), zone: "a".into(), ..NodeFacts::default() })
+    }
+
+    /// Lets a client read all that was said to it and acknowledge it; gives the updates.
+    fn read(&mut self, peer: Peer, client: &mut Subscribing) -> Vec<Update> {
+        let (ours, rest) = std::mem::take(&mut self.said).into_iter().partition(|said| said.0 == peer);
+        self.said = rest;
+        let ours: Vec<(Peer, Vec<u8>)> = ours;
+        ours.into_iter()
+            .map(|(_, message)| {
+                let update = client.hear(&message).unwrap();
+                let answer = client.accept(&update);
+                self.core.said(self.now, peer, &answer);
+                update
+            })
+            .collect()
+    }
+}
+
+fn ports(update: &Update) -> Vec<(String, usize, usize)> {
+    let tables = update.resources.iter().map(|any| Assignment::decode(any).unwrap());
+    let draining =
+        |table: &Assignment| table.rows.iter().filter(|row| row.health == Health::Draining).count();
+    tables.map(|table| (table.cluster.clone(), table.rows.len(), draining(&table))).collect()
+}
+
+/// From the listener to the endpoints by the book, with no word of what the specification does not know.
+#[rstest]
+#[case(Variant::StateOfTheWorld)]
+#[case(Variant::Incremental)]
+fn a_stock_client_joins_and_obeys(#[case] variant: Variant) {
+    let mut world = World::new(None);
+    world.list(&[]);
+    let mut client = world.open(7, "stock", variant);
+    let want = |world: &mut World, client: &mut Subscribing, url: &str, names: &[&str]| {
+        let message = client.want(url, names.iter().map(|name| name.to_string()));
+        world.core.said(world.now, 7, &message);
+        world.run(1500);
+        world.read(7, client)
+    };
+    let listeners = want(&mut world, &mut client, types::LISTENER, &[LISTENER]);
+    assert_eq!(listeners[0].resources.len(), 1);
+    let found = want(&mut world, &mut client, types::ROUTES, &[LISTENER]);
+    let ways = read_retries(&found.last().unwrap().resources[0]).unwrap();
+    assert_eq!(ways.iter().map(|way| way.0.as_str()).collect::<Vec<_>>(), ["view", "order"]);
+    let clusters = want(&mut world, &mut client, types::CLUSTER, &["view", "order"]);
+    assert_eq!(clusters[0].resources.len(), 2);
+    let tables = want(&mut world, &mut client, types::ASSIGNMENT, &["view", "order"]);
+    assert_eq!(ports(tables.last().unwrap()), [("view".into(), 5, 0), ("order".into(), 5, 0)]);
+    // A drain leaves at once, not with the next ordinary batch.
+    world.list(&[3]);
+    world.run(200);
+    let tables = world.read(7, &mut client);
+    assert_eq!(ports(&tables[0]), [("view".into(), 4, 0), ("order".into(), 4, 0)]);
+    assert!(world.ended.is_empty());
+}
+
+#[test]
+fn a_channel_keeps_its_pace_and_a_newer_state_is_said_once() {
+    let mut world = World::new(None);
+    world.list(&[]);
+    let mut clients: Vec<Subscribing> =
+        (0..4).map(|at| world.open(at, &format!("f-{at}"), Variant::StateOfTheWorld)).collect();
+    for (peer, client) in clients.iter_mut().enumerate() {
+        let message = client.want(types::ASSIGNMENT, ["view".to_owned(), SHUNNED.to_owned()]);
+        world.core.said(world.now, peer as Peer, &message);
+    }
+    // Each is put on a table of five: 10 for its head, 1 + 5 lines + 2 levels, 1 for its mark: 19 ms at 1 a ms.
+    world.run(18);
+    assert_eq!(world.said.len(), 0);
+    assert_eq!(world.core.backlog().1, 4.0 * 19.0);
+    world.run(22);
+    assert_eq!(world.said.len(), 2);
+    world.run(60);
+    assert_eq!((world.said.len(), world.core.backlog().1), (4, 0.0));
+}
+
+#[rstest]
+#[case::unknown_zone(NodeFacts { id: "f".into(), zone: "z".into(), ..NodeFacts::default() }, Code::FailedPrecondition)]
+#[case::nobody(NodeFacts { zone: "a".into(), ..NodeFacts::default() }, Code::InvalidArgument)]
+fn a_node_that_does_not_fit_is_told_why(#[case] node: NodeFacts, #[case] code: Code) {
+    let mut world = World::new(None);
+    world.core.opened(1, Variant::StateOfTheWorld);
+    let message =
+        Subscribing::new(Variant::StateOfTheWorld, node).want(types::ASSIGNMENT, ["view".to_owned()]);
+    world.core.said(world.now, 1, &message);
+    world.run(1);
+    assert_eq!(world.ended, [(1, code)]);
+    assert_eq!(world.core.joined(), 0);
+}
+
+#[test]
+fn a_node_that_comes_again_replaces_its_older_stream() {
+    let mut world = World::new(None);
+    for peer in [1, 2] {
+        let mut client = world.open(peer, "same", Variant::StateOfTheWorld);
+        let message = client.want(types::ASSIGNMENT, ["view".to_owned()]);
+        world.core.said(world.now, peer, &message);
+        world.run(1);
+    }
+    assert_eq!((world.ended.clone(), world.core.joined()), (vec![(1, Code::Cancelled)], 1));
+    // The end of the older one is no end of the node.
+    world.core.ended(1);
+    assert_eq!(world.core.joined(), 1);
+}
+
+#[test]
+fn what_is_turned_down_is_said_again_and_the_third_time_ends_the_stream() {
+    let mut world = World::new(None);
+    world.list(&[]);
+    let mut client = world.open(1, "f", Variant::StateOfTheWorld);
+    let message = client.want(types::ASSIGNMENT, ["view".to_owned()]);
+    world.core.said(world.now, 1, &message);
+    for _ in 0..3 {
+        while world.said.is_empty() {
+            world.run(1);
+        }
+        let (_, message) = world.said.remove(0);
+        let update = client.hear(&message).unwrap();
+        assert_eq!(ports(&update), [("view".into(), 5, 0)], "the whole table each time");
+        let no = client.turn_down(&update, "not like this".into());
+        world.core.said(world.now, 1, &no);
+    }
+    world.run(1);
+    assert_eq!(world.ended, [(1, Code::FailedPrecondition)]);
+}
+
+#[test]
+fn who_answers_nothing_is_parted_with_and_holds_up_nobody() {
+    let mut world = World::new(None);
+    world.list(&[]);
+    for peer in [1, 2] {
+        let mut client = world.open(peer, &format!("f-{peer}"), Variant::StateOfTheWorld);
+        let message = client.want(types::ASSIGNMENT, ["view".to_owned()]);
+        world.core.said(world.now, peer, &message);
+        world.run(100);
+        if peer == 2 {
+            assert_eq!(world.read(peer, &mut client).len(), 1);
+        }
+    }
+    // Four times a round of 1.2 s and the 2 s in which a full channel empties.
+    world.run(12_000);
+    assert!(world.ended.is_empty());
+    world.run(2_500);
+    assert_eq!((world.ended.clone(), world.core.joined()), (vec![(1, Code::DeadlineExceeded)], 1));
+}
+
+#[test]
+fn a_restart_lives_by_the_kept_list_and_by_nothing_else() {
+    let mut world = World::new(None);
+    world.list(&[2]);
+    let kept = world.core.remember();
+    for (kept, rows) in [(&kept[..], 4), (&b"{half a li"[..], 0)] {
+        let mut world = World::new(Some(kept));
+        let mut client = world.open(1, "f", Variant::StateOfTheWorld);
+        let message = client.want(types::ASSIGNMENT, ["view".to_owned()]);
+        world.core.said(world.now, 1, &message);
+        world.run(500);
+        let held = world.read(1, &mut client).last().map_or(0, |update| ports(update)[0].1);
+        assert_eq!(held, rows);
+    }
+}
+
+#[rstest]
+#[case::not_loopback(
+    "listen = \"127.0.0.1:0\"",
+    "listen = \"0.0.0.0:1\"",
+    "file:2: listen: 0.0.0.0:1 is not a loopback"
+)]
+#[case::unknown_key("seed", "sede", "unknown field `sede`")]
+#[case::out_of_range(
+    "cold_from = 0.25",
+    "cold_from = 25.0",
+    "file:33: rules.cold_from: 25 is out of range; give a number"
+)]
+#[case::no_such_locality("locality = \"a\"", "locality = \"c\"", "file:8: locality:")]
+#[case::missing("paced = true", "", "missing field `paced`")]
+#[case::rate("admission = \"ignored\"", "admission = \"rate\"", "unknown variant `rate`")]
+#[case::timeout_before_objective(
+    "integration_timeout_ms = 3000.0",
+    "integration_timeout_ms = 3.0",
+    "operation.integration_timeout_ms: 3 is out of range; give a number from 1000"
+)]
+fn a_bad_file_is_refused_with_line_key_and_remedy(#[case] from: &str, #[case] to: &str, #[case] said: &str) {
+    let text = FILE.replace("supervisors = 1", "supervisors = 1\nseed = 3").replacen(from, to, 1);
+    let error = Deployment::parse(Path::new("file"), &text).unwrap_err().to_string();
+    assert!(error.contains(said), "{error}");
+}
