Count no demand for servers that never were

Demand is now taken from endpoints that a list has named, a server gone included, or from a client's totals where it tells of none. The stand-in server finishes what ran when it fell silent. Seen by a small test of the sums.

--- a/crates/standins/src/servers.rs
+++ b/crates/standins/src/servers.rs
@@ -341,6 +341,15 @@
         }
     }
 
+    /// What was running when a server fell still is done when it comes to itself.
+    fn come_to(&mut self, servers: &[u32], still: bool) {
+        for id in servers.iter().filter(|_| !still) {
+            let running = self.servers.get(id).map(|server| server.running.keys().copied().collect());
+            let running: Vec<u64> = running.unwrap_or_default();
+            running.into_iter().for_each(|job| self.done(*id, job));
+        }
+    }
+
     fn command(&mut self, command: Command) -> Result<()> {
         match command {
             Command::Crash { servers } => servers.iter().for_each(|&id| self.down(id)),
@@ -360,15 +369,11 @@
                     server.silent = on;
                     server.conns.iter().for_each(|&conn| self.hub.pause(conn, on));
                 }
+                self.come_to(&servers, on);
             }
             Command::Hang { servers, on } => {
                 self.each(&servers, |server| server.hung = on);
-                // What was running when it hung is done when it comes to itself.
-                for id in servers.iter().filter(|_| !on) {
-                    let jobs: Vec<u64> =
-                        self.servers.get(id).map(|s| s.running.keys().copied().collect()).unwrap_or_default();
-                    jobs.into_iter().for_each(|job| self.done(*id, job));
-                }
+                self.come_to(&servers, on);
             }
             Command::Slow { servers, factor } => self.each(&servers, |server| server.slow = factor),
             Command::Fail { servers, part } => self.each(&servers, |server| server.fails = part),
--- a/crates/supervisor/src/reports.rs
+++ b/crates/supervisor/src/reports.rs
@@ -49,15 +49,14 @@
     ) {
         for cluster in &report.clusters {
             let Some(at) = operations.iter().position(|name| *name == cluster.cluster) else { continue };
-            let came = self.came.entry((proxy, at as u16)).or_default();
-            came.total = came.total.saturating_add(cluster.issued).saturating_add(cluster.dropped);
-            came.lost = came.lost.saturating_add(cluster.errored);
-            came.window = came.window.saturating_add(cluster.interval);
+            let (mut issued, mut errored) = (0_u64, 0_u64);
             for load in &cluster.endpoints {
                 let Some(server) = roster.server_at(load.address) else {
                     self.strangers += 1;
                     continue;
                 };
+                issued = issued.saturating_add(load.succeeded).saturating_add(load.errored);
+                errored = errored.saturating_add(load.errored);
                 let met = self.met.entry((server, locality)).or_default();
                 met.succeeded = met.succeeded.saturating_add(load.succeeded);
                 met.errored = met.errored.saturating_add(load.errored);
@@ -66,6 +65,14 @@
                 met.window = met.window.max(cluster.interval);
                 met.cpu = load.metrics.get("cpu").copied().or(met.cpu);
             }
+            // Tries at servers that never were are no demand; a client that tells of none by name is believed.
+            if cluster.endpoints.is_empty() {
+                (issued, errored) = (cluster.issued, cluster.errored);
+            }
+            let came = self.came.entry((proxy, at as u16)).or_default();
+            came.total = came.total.saturating_add(issued).saturating_add(cluster.dropped);
+            came.lost = came.lost.saturating_add(errored);
+            came.window = came.window.saturating_add(cluster.interval);
         }
     }
 
--- a/crates/supervisor/tests/core.rs
+++ b/crates/supervisor/tests/core.rs
@@ -295,3 +295,48 @@
     let error = Deployment::parse(Path::new("file"), &text).unwrap_err().to_string();
     assert!(error.contains(said), "{error}");
 }
+
+/// A client's word about a server that never was counts neither as a try nor as demand.
+#[test]
+fn load_of_a_server_that_never_was_is_no_demand() {
+    use shalereel::interface::Event;
+    let mut roster = shalereel_supervisor::Roster::new(&["a".to_owned()]);
+    let row = Row {
+        address: ([127, 1, 0, 1], 80).into(),
+        zone: "a".into(),
+        health: Health::Ready,
+        weight: 1.0,
+        facts: Some(ServerFacts { server: 4, kind: 0, cell: 0, incarnation: 1, age: None }),
+    };
+    let list = |rows| Assignment { cluster: "fleet".into(), rows, admitted: 1.0 };
+    roster.hear(SECOND, &list(vec![row]), &mut vec![]);
+    // Gone by now: what is told of it still counts, since tries were under way.
+    roster.hear(SECOND, &list(vec![]), &mut vec![]);
+    let load = |last: u8, errored| EndpointLoad {
+        address: ([127, 1, 0, last], 80).into(),
+        zone: "a".into(),
+        succeeded: 3,
+        errored,
+        timed: 3,
+        time: 60 * MILLI,
+        metrics: Default::default(),
+    };
+    let endpoints = vec![load(1, 1), load(9, 5000)];
+    let cluster = ClusterLoad {
+        cluster: "view".into(),
+        interval: SECOND,
+        issued: 5007,
+        errored: 5001,
+        dropped: 2,
+        endpoints,
+    };
+    let mut reports = shalereel_supervisor::Reports::default();
+    reports.add(1, 0, &LoadReport { node: None, clusters: vec![cluster] }, &["view".to_owned()], &roster);
+    let events = reports.take();
+    assert!(
+        matches!(&events[0], Event::Digest(digest) if digest.server == 4 && (digest.tries, digest.lost) == (4, 1))
+    );
+    assert!(matches!(&events[0], Event::Digest(digest) if digest.answer_time == 20 * MILLI));
+    assert!(matches!(events[1], Event::Intake { total: 6, lost: 1, .. }), "{events:?}");
+    assert_eq!((events.len(), reports.strangers, reports.take().len()), (2, 1, 0));
+}
