Serve balancers by SASP on the same core, beside xDS

Need: balancers that take weights alone should go by our decisions. A balancer is a joined proxy like any other; what is decided for it does not know which front carries it. Connections without HTTP/2 join the hub, members that register or quiesce themselves join the list, forwarders of a drill may be balancers.

--- a/crates/cli/src/daemon_command.rs
+++ b/crates/cli/src/daemon_command.rs
@@ -37,9 +37,9 @@
     } else {
         log.init();
     }
-    run(deployment, |address| {
+    run(deployment, |addresses| {
         let mut out = std::io::stdout().lock();
-        writeln!(out, "{}", serde_json::to_string(&Ready { addresses: vec![address] })?)?;
+        writeln!(out, "{}", serde_json::to_string(&Ready { addresses })?)?;
         Ok(out.flush()?)
     })?;
     Ok(ExitCode::SUCCESS)
--- a/crates/cli/src/measure_command.rs
+++ b/crates/cli/src/measure_command.rs
@@ -18,7 +18,7 @@
     Row, ServerFacts, Serving, Subscribing, Variant, ADS, LRS,
 };
 
-const BOUNDS: Bounds = Bounds { message: 16 << 20, calls: 64, unread: 64 << 20 };
+const BOUNDS: Bounds = Bounds { message: 16 << 20, calls: 64, unread: 64 << 20, silence: PATIENCE };
 const OPERATIONS: [&str; 3] = ["box-view", "box-add", "order-place"];
 /// Nothing takes so long unless it hangs.
 const PATIENCE: Nanos = 60 * SECOND;
--- a/crates/drill/src/day.rs
+++ b/crates/drill/src/day.rs
@@ -107,6 +107,9 @@
     pub admission: String,
     #[serde(default)]
     pub incremental: bool,
+    /// So many of them are balancers that take weights by SASP.
+    #[serde(default)]
+    pub balancers: u32,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -334,7 +337,8 @@
     }
 
     /// A supervisor's own file for this day.
-    pub fn deployment(&self, number: u16, listen: &str, registry: &str, folder: &str) -> String {
+    pub fn deployment(&self, number: u16, listen: [&str; 2], registry: &str, folder: &str) -> String {
+        let [listen, sasp] = listen;
         let (fleet, forwarders, supervisors, rules) =
             (&self.fleet, &self.forwarders, &self.supervisors, &self.rules);
         let cold_from = self.kinds.iter().map(|kind| kind.cold_from).fold(1.0, f64::min);
@@ -403,6 +407,9 @@
                 operation.billed_value,
             );
         }
+        if self.forwarders.balancers > 0 {
+            text += &format!("\n[sasp]\nlisten = {sasp:?}\n");
+        }
         match self.planted.and_then(Planted::of_supervisor) {
             Some(fault) => format!("planted = {fault:?}\n{text}"),
             None => text,
--- a/crates/drill/src/stage.rs
+++ b/crates/drill/src/stage.rs
@@ -88,7 +88,8 @@
     folder: PathBuf,
     day: Day,
     actors: BTreeMap<Staged, Actor>,
-    supervisors: Vec<(Option<Actor>, SocketAddr)>,
+    /// Each with its address on either front.
+    supervisors: Vec<(Option<Actor>, [SocketAddr; 2])>,
     registry: SocketAddr,
     /// The list as it truly is.
     pub list: BTreeMap<u32, Listed>,
@@ -150,7 +151,8 @@
         )?;
         stage.registry = told.addresses[0];
         for number in 0..day.supervisors.count {
-            stage.supervisors.push((None, SocketAddr::from(([127, 0, 3, number as u8 + 1], 0))));
+            let on = |net| SocketAddr::from(([127, 0, net, number as u8 + 1], 0));
+            stage.supervisors.push((None, [on(3), on(4)]));
             stage.start_supervisor(usize::from(number))?;
         }
         let forwarders = stage.forwarder_plans(&mut chance);
@@ -160,7 +162,8 @@
                 trace: stage.trace(Staged::Forwarders),
                 seed: day.seed,
                 operations: day.operation_plans(),
-                supervisors: stage.supervisors.iter().map(|supervisor| supervisor.1).collect(),
+                supervisors: stage.supervisors.iter().map(|supervisor| supervisor.1[0]).collect(),
+                sasp: stage.supervisors.iter().map(|supervisor| supervisor.1[1]).collect(),
                 servers,
                 standing: day.forwarders.standing,
                 pick: day.forwarders.pick,
@@ -227,6 +230,7 @@
             address: SocketAddr::from(([127, 2, (at / 250) as u8, (at % 250) as u8 + 1], 0)),
             zone: day.localities[at % day.localities.len()].clone(),
             rate: day.demand.rate * part / total,
+            sasp: (at as u32) < day.forwarders.balancers,
         };
         parts.into_iter().enumerate().map(plan).collect()
     }
@@ -273,10 +277,10 @@
         let name = format!("supervisor-{number}");
         let state = self.folder.join(&name);
         let file = self.folder.join(format!("{name}.toml"));
-        let listen = self.supervisors[number].1;
+        let [listen, sasp] = self.supervisors[number].1.map(|address| address.to_string());
         let text = self.day.deployment(
             number as u16,
-            &listen.to_string(),
+            [&listen, &sasp],
             &self.registry.to_string(),
             &state.to_string_lossy(),
         );
@@ -284,7 +288,9 @@
         let mut actor =
             Actor::start(&self.program, &["daemon", "--config", &file.to_string_lossy()], &self.log(number))?;
         let ready = actor.ready().with_context(|| name)?;
-        self.supervisors[number] = (Some(actor), ready.addresses[0]);
+        let held = &mut self.supervisors[number];
+        held.0 = Some(actor);
+        held.1.iter_mut().zip(ready.addresses).for_each(|(old, address)| *old = address);
         Ok(())
     }
 
--- a/crates/rpc/src/conn.rs
+++ b/crates/rpc/src/conn.rs
@@ -24,6 +24,8 @@
     pub calls: u32,
     /// Bytes that wait for a peer that does not read; the call ends beyond it.
     pub unread: usize,
+    /// A peer whose kernel acknowledges nothing for so long is gone.
+    pub silence: Nanos,
 }
 
 /// What came on a connection.
--- a/crates/rpc/src/hub.rs
+++ b/crates/rpc/src/hub.rs
@@ -3,11 +3,13 @@
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
 use std::os::unix::net::UnixStream;
+use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes, BytesMut};
 use shalereel_reactor::{dial, now, stop_signals, Listener, Nanos, Reactor, Socket, TimerId, Timers, Token};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::conn::{Bounds, Came, Conn, StreamId};
 use crate::Status;
@@ -47,6 +49,11 @@
         conn: ConnId,
         why: String,
     },
+    /// On a plain connection, in pieces of any size.
+    Bytes {
+        conn: ConnId,
+        bytes: Bytes,
+    },
     Due(K),
     /// One line of standard input, without its end.
     Line(String),
@@ -55,8 +62,48 @@
     Stop,
 }
 
+/// What is spoken on a connection.
+enum Speech {
+    Calls(Box<Conn>),
+    /// Bytes of a protocol of its own.
+    Plain(Plain),
+}
+
+struct Plain {
+    socket: Socket,
+    out: BytesMut,
+}
+
+impl Plain {
+    /// Reads what there is and writes what is taken; ready once the connection is over.
+    fn poll(&mut self, cx: &mut Context<'_>, came: &mut Vec<Bytes>, most: usize) -> Poll<String> {
+        while !self.out.is_empty() {
+            match Pin::new(&mut self.socket).poll_write(cx, &self.out) {
+                Poll::Ready(Ok(count)) => self.out.advance(count),
+                Poll::Ready(Err(error)) => return Poll::Ready(error.to_string()),
+                Poll::Pending => break,
+            }
+        }
+        if self.out.len() > most {
+            return Poll::Ready(format!("{} bytes wait unread", self.out.len()));
+        }
+        loop {
+            let mut piece = [0; 16 * 1024];
+            let mut buffer = ReadBuf::new(&mut piece);
+            match Pin::new(&mut self.socket).poll_read(cx, &mut buffer) {
+                Poll::Ready(Ok(())) if buffer.filled().is_empty() => {
+                    return Poll::Ready("closed by the peer".into());
+                }
+                Poll::Ready(Ok(())) => came.push(Bytes::copy_from_slice(buffer.filled())),
+                Poll::Ready(Err(error)) => return Poll::Ready(error.to_string()),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+    }
+}
+
 struct Held {
-    conn: Conn,
+    speech: Speech,
     handle: Socket,
     paused: bool,
 }
@@ -65,7 +112,7 @@
 pub struct Hub<L, K> {
     reactor: Reactor,
     timers: Timers<K>,
-    listeners: BTreeMap<Token, (Listener, L, bool)>,
+    listeners: BTreeMap<Token, Door<L>>,
     conns: BTreeMap<ConnId, Held>,
     /// To be polled before the next wait: something was put into them.
     touched: BTreeSet<ConnId>,
@@ -75,8 +122,12 @@
     bounds: Bounds,
 }
 
-/// A peer whose kernel acknowledges nothing for so long is gone.
-const HALF_OPEN: Duration = Duration::from_secs(20);
+struct Door<L> {
+    listener: Listener,
+    name: L,
+    paused: bool,
+    plain: bool,
+}
 
 impl<L: Clone, K> Hub<L, K> {
     /// Errors: what `epoll` gives.
@@ -112,9 +163,18 @@
 
     /// Serves an address on loopback; gives the one that it has, port included.
     pub fn listen(&mut self, address: SocketAddr, name: L) -> io::Result<(Token, SocketAddr)> {
+        self.open(address, name, false)
+    }
+
+    /// The same for a protocol of its own: what comes is [`Input::Bytes`].
+    pub fn listen_plain(&mut self, address: SocketAddr, name: L) -> io::Result<(Token, SocketAddr)> {
+        self.open(address, name, true)
+    }
+
+    fn open(&mut self, address: SocketAddr, name: L, plain: bool) -> io::Result<(Token, SocketAddr)> {
         let listener = Listener::bind(address)?;
         let (token, address) = (self.reactor.add(&listener)?, listener.address()?);
-        self.listeners.insert(token, (listener, name, false));
+        self.listeners.insert(token, Door { listener, name, paused: false, plain });
         Ok((token, address))
     }
 
@@ -126,7 +186,7 @@
     /// While paused, nobody is accepted: the kernel keeps them waiting.
     pub fn pause_listener(&mut self, listener: Token, paused: bool) {
         if let Some(held) = self.listeners.get_mut(&listener) {
-            held.2 = paused;
+            held.paused = paused;
             if !paused {
                 self.accept(listener);
             }
@@ -136,22 +196,48 @@
     /// Starts a connection. Errors: no descriptor, or not loopback; a refusal comes as [`Input::Closed`].
     pub fn dial(&mut self, address: SocketAddr) -> io::Result<ConnId> {
         let socket = dial(address)?;
-        self.hold(socket, Conn::client)
+        self.hold(socket, |socket, bounds| Speech::Calls(Box::new(Conn::client(socket, bounds))))
+    }
+
+    /// The same for a protocol of its own.
+    pub fn dial_plain(&mut self, address: SocketAddr) -> io::Result<ConnId> {
+        let socket = dial(address)?;
+        self.hold(socket, |socket, _| Speech::Plain(Plain { socket, out: BytesMut::new() }))
     }
 
-    fn hold(&mut self, socket: Socket, make: fn(Socket, Bounds) -> Conn) -> io::Result<ConnId> {
-        socket.give_up_after(HALF_OPEN)?;
+    fn hold(&mut self, socket: Socket, make: fn(Socket, Bounds) -> Speech) -> io::Result<ConnId> {
+        socket.give_up_after(Duration::from_nanos(self.bounds.silence))?;
         let id = ConnId(self.reactor.add(&socket)?);
         let handle = socket.handle()?;
-        self.conns.insert(id, Held { conn: make(socket, self.bounds), handle, paused: false });
+        self.conns.insert(id, Held { speech: make(socket, self.bounds), handle, paused: false });
         self.touched.insert(id);
         Ok(id)
     }
 
     fn touch(&mut self, conn: ConnId) -> Option<&mut Conn> {
-        let held = self.conns.get_mut(&conn)?;
-        self.touched.insert(conn);
-        Some(&mut held.conn)
+        match &mut self.conns.get_mut(&conn)?.speech {
+            Speech::Calls(calls) => {
+                self.touched.insert(conn);
+                Some(calls)
+            }
+            Speech::Plain(_) => None,
+        }
+    }
+
+    /// Puts bytes on a plain connection; nothing happens where it is gone.
+    pub fn write(&mut self, conn: ConnId, bytes: &[u8]) {
+        if let Some(Speech::Plain(plain)) = self.conns.get_mut(&conn).map(|held| &mut held.speech) {
+            plain.out.extend_from_slice(bytes);
+            self.touched.insert(conn);
+        }
+    }
+
+    /// Bytes of a plain connection that the peer did not take yet.
+    pub fn unwritten(&self, conn: ConnId) -> usize {
+        match self.conns.get(&conn).map(|held| &held.speech) {
+            Some(Speech::Plain(plain)) => plain.out.len(),
+            _ => 0,
+        }
     }
 
     /// See [`Conn::call`]; nothing where the connection is gone.
@@ -185,7 +271,10 @@
     }
 
     pub fn unread(&self, conn: ConnId, stream: StreamId) -> usize {
-        self.conns.get(&conn).map_or(0, |held| held.conn.unread(stream))
+        match self.conns.get(&conn).map(|held| &held.speech) {
+            Some(Speech::Calls(calls)) => calls.unread(stream),
+            _ => 0,
+        }
     }
 
     /// Closes at once, with a reset where `abrupt`; no [`Input::Closed`] follows.
@@ -279,11 +368,18 @@
     }
 
     fn accept(&mut self, token: Token) {
-        while let Some((listener, name, false)) = self.listeners.get(&token) {
-            let name = name.clone();
+        while let Some(Door { listener, name, paused: false, plain }) = self.listeners.get(&token) {
+            let (name, plain) = (name.clone(), *plain);
             match listener.accept() {
                 Ok(Some(socket)) => {
-                    if let Ok(conn) = self.hold(socket, Conn::server) {
+                    let held = if plain {
+                        self.hold(socket, |socket, _| Speech::Plain(Plain { socket, out: BytesMut::new() }))
+                    } else {
+                        self.hold(socket, |socket, bounds| {
+                            Speech::Calls(Box::new(Conn::server(socket, bounds)))
+                        })
+                    };
+                    if let Ok(conn) = held {
                         self.ready.push_back(Input::Opened { conn, at: name });
                     }
                 }
@@ -303,14 +399,26 @@
             return;
         }
         let waker = self.reactor.waker(id.0);
-        let mut came = Vec::new();
-        let over = held.conn.poll(&mut Context::from_waker(&waker), &mut came);
-        self.ready.extend(came.into_iter().map(|came| match came {
-            Came::Call { stream, path, timeout } => Input::Call { conn: id, stream, path, timeout },
-            Came::Message { stream, message } => Input::Message { conn: id, stream, message },
-            Came::HalfClosed { stream } => Input::HalfClosed { conn: id, stream },
-            Came::Ended { stream, status } => Input::Ended { conn: id, stream, status },
-        }));
+        let mut cx = Context::from_waker(&waker);
+        let over = match &mut held.speech {
+            Speech::Calls(calls) => {
+                let mut came = Vec::new();
+                let over = calls.poll(&mut cx, &mut came);
+                self.ready.extend(came.into_iter().map(|came| match came {
+                    Came::Call { stream, path, timeout } => Input::Call { conn: id, stream, path, timeout },
+                    Came::Message { stream, message } => Input::Message { conn: id, stream, message },
+                    Came::HalfClosed { stream } => Input::HalfClosed { conn: id, stream },
+                    Came::Ended { stream, status } => Input::Ended { conn: id, stream, status },
+                }));
+                over
+            }
+            Speech::Plain(plain) => {
+                let mut came = Vec::new();
+                let over = plain.poll(&mut cx, &mut came, self.bounds.unread);
+                self.ready.extend(came.into_iter().map(|bytes| Input::Bytes { conn: id, bytes }));
+                over
+            }
+        };
         if let Poll::Ready(why) = over {
             self.conns.remove(&id);
             self.ready.push_back(Input::Closed { conn: id, why });
--- a/crates/sasp/src/session.rs
+++ b/crates/sasp/src/session.rs
@@ -422,6 +422,15 @@
         Some(Message { id: self.last_id, body: Body::SendWeights { groups } })
     }
 
+    pub fn pushes(&self, peer: Peer) -> bool {
+        self.speakers.get(&peer).is_some_and(|speaker| speaker.flags.push)
+    }
+
+    /// Has this peer said that it is a balancer?
+    pub fn speaks_for_balancer(&self, peer: Peer) -> bool {
+        self.speakers.get(&peer).is_some_and(|speaker| speaker.uid.is_some())
+    }
+
     /// Members known, all groups together.
     pub fn members(&self) -> usize {
         self.groups.values().map(BTreeMap::len).sum()
--- a/crates/standins/src/forwarders.rs
+++ b/crates/standins/src/forwarders.rs
@@ -1,14 +1,15 @@
 //! Forwarders: obey the published tables, avoid after failures, keep tables when the stream breaks, and report.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use anyhow::Result;
 use oorandom::Rand64;
-use prost::Message;
+use prost::Message as _;
 use shalereel::interface::{FurtherTry, Nanos};
 use shalereel_reactor::{now, TimerId, Token, SECOND};
 use shalereel_rpc::{Code, ConnId, Hub, Input, Status, StreamId};
+use shalereel_sasp::{Body, Frames, Group, LbFlags, Member, Message, ReturnCode, WeightEntry};
 use shalereel_xds::{
     read_retries, types, Assignment, ClusterLoad, EndpointLoad, Health, LoadAnswer, LoadReport, NodeFacts,
     Subscribing, Update, Variant, ADS, DELTA_ADS, LRS, SHUNNED,
@@ -82,6 +83,8 @@
     stalled: bool,
     supervisor: usize,
     link: Option<(ConnId, StreamId, StreamId)>,
+    /// Where it takes weights by SASP: what is not whole yet of a message.
+    frames: Frames,
     up: bool,
     list: Subscribing,
     generation: u64,
@@ -165,6 +168,14 @@
     }
 }
 
+fn member(address: SocketAddr) -> Member {
+    let ip = match address.ip() {
+        IpAddr::V4(ip) => ip.to_ipv6_mapped(),
+        IpAddr::V6(ip) => ip,
+    };
+    Member { protocol: 6, port: address.port(), address: ip, label: Vec::new() }
+}
+
 impl Forwarder {
     fn lines(&self, operation: usize) -> impl Iterator<Item = &Line> {
         self.tables[operation].lines.iter().filter(|line| !self.shunned.contains(&line.address))
@@ -207,6 +218,7 @@
             stalled: false,
             supervisor: supervisor % self.plan.supervisors.len().max(1),
             link: None,
+            frames: Frames::new(4 << 20),
             up: false,
             list,
             generation: self.last,
@@ -260,6 +272,11 @@
                     }
                 }
             }
+            Input::Bytes { conn, bytes } => {
+                if let Some(&id) = self.links.get(&conn) {
+                    self.weights(id, &bytes);
+                }
+            }
             Input::HalfClosed { .. } => {}
             Input::Ended { conn, stream, status } => self.ended(conn, stream, &status),
             Input::Closed { conn, why } => self.closed(conn, &why),
@@ -288,7 +305,97 @@
 
     // The supervisor's side.
 
+    /// A balancer says how it wants to be served and registers all servers, a group an operation.
+    fn dial_sasp(&mut self, id: u32) {
+        let Some(forwarder) = self.forwarders.get_mut(&id).filter(|f| f.alive && f.link.is_none()) else {
+            return;
+        };
+        let Some(&address) = self.plan.sasp.get(forwarder.supervisor) else { return };
+        let Ok(conn) = self.hub.dial_plain(address) else { return self.redial(id) };
+        forwarder.link = Some((conn, 0, 0));
+        forwarder.frames = Frames::new(4 << 20);
+        self.links.insert(conn, id);
+        let balancer = format!("balancer-{id}").into_bytes();
+        let flags = LbFlags { push: true, trust: false, no_change: true };
+        let members: Vec<Member> = self.plan.servers.iter().map(|server| member(server.address)).collect();
+        let group = |operation: &crate::OperationPlan| {
+            let group = Group { balancer: balancer.clone(), name: operation.name.clone().into_bytes() };
+            (group, members.clone())
+        };
+        let groups = self.plan.operations.iter().map(group).collect();
+        let state = Body::SetLbState { balancer: balancer.clone(), health: 0, flags };
+        let register = Body::Register { from_balancer: true, groups };
+        for (id, body) in [state, register].into_iter().enumerate() {
+            self.hub.write(conn, &Message { id: id as u32, body }.encode());
+        }
+        self.hub.pause(conn, forwarder.stalled);
+    }
+
+    fn weights(&mut self, id: u32, bytes: &[u8]) {
+        let Some(forwarder) = self.forwarders.get_mut(&id) else { return };
+        forwarder.frames.push(bytes);
+        loop {
+            let Some(forwarder) = self.forwarders.get_mut(&id) else { return };
+            match forwarder.frames.take() {
+                Ok(None) => return,
+                Err(error) => {
+                    eprintln!("balancer {id}: {error}");
+                    return self.lost(id);
+                }
+                Ok(Some(Message { body: Body::Registered(ReturnCode::Successful), .. })) => {
+                    if !std::mem::replace(&mut forwarder.up, true) {
+                        let supervisor = forwarder.supervisor as u32;
+                        self.trace.put(&Seen::Joined { at: now(), forwarder: id, supervisor });
+                    }
+                }
+                Ok(Some(Message { body: Body::SendWeights { groups }, .. })) => {
+                    self.take_weights(id, &groups)
+                }
+                Ok(Some(Message { body: Body::LbStateSet(ReturnCode::Successful), .. })) => {}
+                Ok(Some(other)) => eprintln!("balancer {id}: {:?}", other.body),
+            }
+        }
+    }
+
+    /// Weights of some members: what is not named stays as it was.
+    fn take_weights(&mut self, id: u32, groups: &[(Group, Vec<WeightEntry>)]) {
+        let Some(forwarder) = self.forwarders.get_mut(&id) else { return };
+        let mut changed = 0;
+        for (group, entries) in groups {
+            let named = |operation: &crate::OperationPlan| operation.name.as_bytes() == group.name;
+            let Some(at) = self.plan.operations.iter().position(named) else { continue };
+            let table = &mut forwarder.tables[at];
+            // The first weights replace the standing table.
+            if table.told.is_empty() {
+                table.lines.clear();
+            }
+            changed = changed.max(entries.len());
+            for entry in entries {
+                let address = SocketAddr::new(entry.member.address.to_canonical(), entry.member.port);
+                table.told.insert(address, (entry.weight.into(), Health::Ready));
+                let weight = if entry.quiesce { 0.0 } else { f64::from(entry.weight) };
+                let old = table.lines.iter_mut().find(|line| line.address == address);
+                match old {
+                    Some(line) => line.weight = weight,
+                    None => table.lines.push(Line { address, weight, credit: 0.0 }),
+                }
+            }
+            if !self.plan.ignore_drains {
+                table.lines.retain(|line| line.weight > 0.0);
+            }
+        }
+        let supervisor = forwarder.supervisor as u32;
+        // SASP has no room for the time of an order; what waited shows at the other front.
+        let at = now();
+        self.trace.put(&Seen::Told { at, forwarder: id, supervisor, lines: changed as u32, ordered: at });
+        self.close_unused(id);
+        self.look_for_lines(id);
+    }
+
     fn dial(&mut self, id: u32) {
+        if self.forwarders.get(&id).is_some_and(|forwarder| forwarder.plan.sasp) {
+            return self.dial_sasp(id);
+        }
         let Some(forwarder) = self.forwarders.get_mut(&id).filter(|f| f.alive && f.link.is_none()) else {
             return;
         };
@@ -328,6 +435,10 @@
             self.trace.put(&Seen::Left { at: now(), forwarder: id });
         }
         forwarder.list.node.standing_only = false;
+        if forwarder.plan.sasp {
+            // The next supervisor's first weights replace what is held.
+            forwarder.tables.iter_mut().for_each(|table| table.told.clear());
+        }
         self.hub.close(conn, false);
         self.redial(id);
     }
--- a/crates/standins/src/plan.rs
+++ b/crates/standins/src/plan.rs
@@ -93,6 +93,8 @@
     pub zone: String,
     /// Invocations a second that it ordinarily gets.
     pub rate: f64,
+    /// It is a balancer that takes weights by SASP, and reports nothing.
+    pub sasp: bool,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -102,6 +104,8 @@
     pub forwarders: Vec<ForwarderPlan>,
     pub operations: Vec<OperationPlan>,
     pub supervisors: Vec<SocketAddr>,
+    /// Where the same supervisors serve balancers.
+    pub sasp: Vec<SocketAddr>,
     /// Servers that a standing table is drawn from.
     pub servers: Vec<ServerPlan>,
     pub standing: usize,
--- /dev/null
+++ b/crates/supervisor/src/advice.rs
@@ -0,0 +1,158 @@
+//! The second front: balancers that take weights alone, by SASP. It turns their messages into joins and marks,
+//! and the tables into weights; what goes into the tables is decided where it is for every other proxy.
+//! Free of I/O and clock.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use shalereel::interface::{Nanos, StartupFacts, TableId};
+use shalereel_sasp::weights::Figure;
+use shalereel_sasp::{Advisor, Answer, Body, Bounds, Change, Frames, Group, Member, ReturnCode};
+
+use crate::core::Peer;
+use crate::roster::{MemberWord, Roster};
+use crate::tables::Tables;
+
+/// Bytes of one message: a registration of ten thousand members with long labels fits.
+const MESSAGE: usize = 4 << 20;
+
+/// What the tables hold for a joined balancer.
+pub struct View<'a> {
+    pub tables: &'a Tables,
+    pub roster: &'a Roster,
+    pub operations: &'a [String],
+    /// By operation; nothing where the balancer is on no table yet.
+    pub bound: &'a BTreeMap<u16, TableId>,
+    pub now: Nanos,
+    pub cold_for: Nanos,
+}
+
+impl View<'_> {
+    fn figure(&self, group: &Group, member: &Member) -> Option<Figure> {
+        let at = self.operations.iter().position(|name| name.as_bytes() == group.name)? as u16;
+        let table = *self.bound.get(&at)?;
+        let server = self.roster.server_at(address(member))?;
+        let weight = self.tables.weight(table, server);
+        Some(Figure { weight, cold: self.roster.started_within(server, self.now, self.cold_for) })
+    }
+}
+
+/// Where a member is.
+pub fn address(member: &Member) -> SocketAddr {
+    SocketAddr::new(member.address.to_canonical(), member.port)
+}
+
+/// What came of a peer's bytes.
+#[derive(Debug, PartialEq)]
+pub enum Outcome {
+    Write(Vec<u8>),
+    Joined {
+        balancer: String,
+    },
+    /// A member said of itself, or a balancer of it, that it takes nothing new, or that it is there or gone.
+    Member(MemberWord),
+    /// The weights as they stand have been taken.
+    Taken,
+    End(String),
+}
+
+/// All connections of the second front.
+#[derive(Debug)]
+pub struct Advice {
+    advisor: Advisor,
+    frames: BTreeMap<Peer, Frames>,
+}
+
+impl Advice {
+    pub fn new(facts: &StartupFacts) -> Self {
+        // A balancer that asks is due once a report cycle, and is borne with at some times that.
+        let cycle_s = facts.report_cycle.div_ceil(1_000_000_000).clamp(1, 3600) as u16;
+        let bounds = Bounds { members: 20_000, groups: 256, asks: 16, interval: cycle_s };
+        Advice { advisor: Advisor::new(bounds), frames: BTreeMap::new() }
+    }
+
+    pub fn opened(&mut self, peer: Peer) {
+        self.frames.insert(peer, Frames::new(MESSAGE));
+        self.advisor.opened(peer);
+    }
+
+    pub fn knows(&self, peer: Peer) -> bool {
+        self.frames.contains_key(&peer)
+    }
+
+    /// Once a report cycle.
+    pub fn tick(&mut self) {
+        self.advisor.tick();
+    }
+
+    pub fn heard(&mut self, peer: Peer, bytes: &[u8], view: &View<'_>) -> Vec<Outcome> {
+        let Some(frames) = self.frames.get_mut(&peer) else { return Vec::new() };
+        let (mut outcomes, mut changes) = (Vec::new(), Vec::new());
+        frames.push(bytes);
+        loop {
+            let message = match frames.take() {
+                Ok(Some(message)) => message,
+                Ok(None) => break,
+                Err(error) => {
+                    outcomes.push(Outcome::End(error.to_string()));
+                    break;
+                }
+            };
+            let lookup = |group: &Group, member: &Member| view.figure(group, member);
+            let asks = matches!(message.body, Body::GetWeights { .. });
+            // On no table yet, it has nothing to go by: weights of 0 would empty it.
+            if asks && view.bound.is_empty() {
+                let body = Body::Weights { code: ReturnCode::TryLater, interval: 1, groups: Vec::new() };
+                let reply = shalereel_sasp::Message { id: message.id, body };
+                outcomes.push(Outcome::Write(reply.encode().to_vec()));
+                continue;
+            }
+            for answer in self.advisor.hear(peer, message, &lookup, &mut changes) {
+                match answer {
+                    Answer::Say(_, reply) => {
+                        if asks && matches!(reply.body, Body::Weights { code: ReturnCode::Successful, .. }) {
+                            outcomes.push(Outcome::Taken);
+                        }
+                        outcomes.push(Outcome::Write(reply.encode().to_vec()));
+                    }
+                    Answer::End(_, why) => outcomes.push(Outcome::End(why.to_owned())),
+                }
+            }
+        }
+        outcomes.extend(changes.into_iter().filter_map(|change| translated(peer, &self.advisor, change)));
+        outcomes
+    }
+
+    /// The connection is over: what its members said of themselves counts no more.
+    pub fn closed(&mut self, peer: Peer) -> Vec<Outcome> {
+        self.frames.remove(&peer);
+        let mut changes = Vec::new();
+        self.advisor.closed(peer, &mut changes);
+        changes.into_iter().filter_map(|change| translated(peer, &self.advisor, change)).collect()
+    }
+
+    /// What is to be pushed to a balancer that is on a table; nothing where it asks, or nothing changed.
+    pub fn push(&mut self, peer: Peer, view: &View<'_>) -> Option<Vec<u8>> {
+        let lookup = |group: &Group, member: &Member| view.figure(group, member);
+        self.advisor.push(peer, &lookup).map(|message| message.encode().to_vec())
+    }
+
+    /// Does it want weights unasked?
+    pub fn pushes(&self, peer: Peer) -> bool {
+        self.advisor.pushes(peer)
+    }
+}
+
+fn translated(peer: Peer, advisor: &Advisor, change: Change) -> Option<Outcome> {
+    match change {
+        Change::Joined { balancer, .. } => {
+            Some(Outcome::Joined { balancer: String::from_utf8_lossy(&balancer).into_owned() })
+        }
+        Change::Left { .. } => None,
+        Change::Member { member, there, quiesce, .. } => {
+            let itself = !advisor.speaks_for_balancer(peer);
+            let zone = String::from_utf8_lossy(&member.label).into_owned();
+            Some(Outcome::Member(MemberWord { address: address(&member), zone, itself, there, quiesce }))
+        }
+    }
+}
--- a/crates/supervisor/src/core.rs
+++ b/crates/supervisor/src/core.rs
@@ -14,6 +14,7 @@
     Response, Serving, Variant, SHUNNED,
 };
 
+use crate::advice::{Advice, Outcome, View};
 use crate::channel::{Channel, Departure, Patience, Verdict};
 use crate::deployment::{Deployment, Planted};
 use crate::reports::Reports;
@@ -36,6 +37,11 @@
         peer: Peer,
         message: Bytes,
     },
+    /// Bytes of the second front.
+    Write {
+        peer: Peer,
+        bytes: Vec<u8>,
+    },
     End {
         peer: Peer,
         status: Status,
@@ -105,10 +111,31 @@
     Resource { name: name.to_owned(), version: format!("{}.{}", version.0, version.1), any }
 }
 
+fn view<'a>(
+    tables: &'a Tables,
+    roster: &'a Roster,
+    deployment: &'a Deployment,
+    bound: &'a BTreeMap<u16, TableId>,
+    now: Nanos,
+) -> View<'a> {
+    let (operations, cold_for) = (&deployment.operations[..], deployment.facts.cold_for);
+    View { tables, roster, operations, bound, now, cold_for }
+}
+
+/// How a proxy is spoken to. What is decided for it does not depend on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Front {
+    /// Assignments, acknowledged by nonce.
+    Discovery,
+    /// Weights alone; pushed ones count as held once written, asked ones once asked for.
+    Advice,
+}
+
 /// A joined proxy.
 #[derive(Debug)]
 struct Proxy {
     peer: Peer,
+    front: Front,
     locality: u16,
     tables: BTreeMap<u16, TableId>,
     /// What left the channel and is not written yet: when it was ordered, and its marks.
@@ -138,6 +165,7 @@
     patience: Patience,
     roster: Roster,
     reports: Reports,
+    advice: Advice,
     streams: BTreeMap<Peer, Stream>,
     /// Load streams, and the proxy whose first report named it.
     loads: BTreeMap<Peer, Option<(ProxyId, u16)>>,
@@ -165,6 +193,7 @@
             patience: Patience::new(facts),
             roster: Roster::new(&deployment.localities),
             reports: Reports::default(),
+            advice: Advice::new(facts),
             streams: BTreeMap::new(),
             loads: BTreeMap::new(),
             proxies: BTreeMap::new(),
@@ -253,6 +282,21 @@
             let text = format!("zone {:?} of node {:?} is not one of this deployment's", node.zone, node.id);
             return Err(Status::new(Code::FailedPrecondition, text));
         };
+        let proxy = self.enter(peer, Front::Discovery, node, locality)?;
+        if let Some(stream) = self.streams.get_mut(&peer) {
+            stream.proxy = Some(proxy);
+        }
+        Ok(())
+    }
+
+    /// A proxy joins, on whichever front.
+    fn enter(
+        &mut self,
+        peer: Peer,
+        front: Front,
+        node: &NodeFacts,
+        locality: u16,
+    ) -> Result<ProxyId, Status> {
         let proxy = self.number(&node.id)?;
         // The same node again: its older stream is half open at best.
         if let Some(older) = self.proxies.get(&proxy).map(|proxy| proxy.peer) {
@@ -260,11 +304,9 @@
             let text = format!("node {:?} has opened another stream", node.id);
             self.effects.push(Effect::End { peer: older, status: Status::new(Code::Cancelled, text) });
         }
-        if let Some(stream) = self.streams.get_mut(&peer) {
-            stream.proxy = Some(proxy);
-        }
         let member = Proxy {
             peer,
+            front,
             locality,
             tables: BTreeMap::new(),
             due: None,
@@ -277,7 +319,89 @@
         self.proxies.insert(proxy, member);
         let (rate, standing_only) = (node.rate, node.standing_only);
         self.events.push(Event::Joined { proxy, locality, rate, standing_only });
-        Ok(())
+        Ok(proxy)
+    }
+
+    /// A connection of the second front was opened.
+    pub fn advised(&mut self, peer: Peer) {
+        self.advice.opened(peer);
+    }
+
+    /// Bytes on a connection of the second front.
+    pub fn advice_heard(&mut self, now: Nanos, peer: Peer, bytes: &[u8]) {
+        let bound = self.proxies.values().find(|proxy| proxy.peer == peer).map(|proxy| proxy.tables.clone());
+        let bound = bound.unwrap_or_default();
+        let view = view(&self.tables, &self.roster, &self.deployment, &bound, now);
+        for outcome in self.advice.heard(peer, bytes, &view) {
+            self.follow(now, peer, outcome);
+        }
+    }
+
+    fn follow(&mut self, now: Nanos, peer: Peer, outcome: Outcome) {
+        match outcome {
+            Outcome::Write(bytes) => self.effects.push(Effect::Write { peer, bytes }),
+            Outcome::Joined { balancer } => {
+                let locality = self.deployment.facts.locality;
+                let zone = self.deployment.localities[usize::from(locality)].clone();
+                let node =
+                    NodeFacts { id: format!("balancer {balancer}"), zone, rate: 0.0, standing_only: true };
+                if let Err(status) = self.enter(peer, Front::Advice, &node, locality) {
+                    self.ended(peer);
+                    self.effects.push(Effect::End { peer, status });
+                }
+            }
+            Outcome::Member(mut word) => {
+                if self.roster.locality(&word.zone).is_none() {
+                    let own = usize::from(self.deployment.facts.locality);
+                    word.zone.clone_from(&self.deployment.localities[own]);
+                }
+                let news = self.roster.member(now, &word);
+                // A balancer's own members are no news, thousands of them at its start.
+                if word.itself || word.quiesce || !word.there {
+                    self.events.push(Event::Roster(news));
+                }
+            }
+            Outcome::Taken => {
+                let id = self.proxies.iter().find(|(_, proxy)| proxy.peer == peer).map(|(&id, _)| id);
+                if let Some(id) = id {
+                    self.held(now, id);
+                }
+            }
+            Outcome::End(why) => {
+                self.ended(peer);
+                let status = Status::new(Code::InvalidArgument, why);
+                self.effects.push(Effect::End { peer, status });
+            }
+        }
+    }
+
+    /// All that was said to a proxy without nonces is in force.
+    fn held(&mut self, now: Nanos, id: ProxyId) {
+        if let Some(proxy) = self.proxies.get_mut(&id) {
+            for said in &mut proxy.said {
+                (said.assignment, said.routes) = (None, None);
+            }
+            self.confirm(now, id);
+        }
+    }
+
+    /// Writes weights to a balancer that wants them unasked; one that asks has them at its next request.
+    fn advise(&mut self, now: Nanos, id: ProxyId) {
+        let Some(proxy) = self.proxies.get_mut(&id) else { return };
+        let (_, mut serials) = proxy.due.take().unwrap_or((now, Vec::new()));
+        serials.append(&mut proxy.parked);
+        let (peer, bound) = (proxy.peer, proxy.tables.clone());
+        self.nonce += 1;
+        proxy.said.push_back(Said { assignment: Some(self.nonce), routes: None, serials, at: now });
+        if bound.is_empty() {
+            return self.held(now, id);
+        }
+        let view = view(&self.tables, &self.roster, &self.deployment, &bound, now);
+        if self.advice.pushes(peer) {
+            let bytes = self.advice.push(peer, &view);
+            self.effects.extend(bytes.map(|bytes| Effect::Write { peer, bytes }));
+            self.held(now, id);
+        }
     }
 
     fn number(&mut self, id: &str) -> Result<ProxyId, Status> {
@@ -301,8 +425,18 @@
     /// The stream is over, whoever ended it.
     pub fn ended(&mut self, peer: Peer) {
         self.loads.remove(&peer);
-        let Some(stream) = self.streams.remove(&peer) else { return };
-        let Some(proxy) = stream.proxy else { return };
+        let proxy = if self.advice.knows(peer) {
+            for outcome in self.advice.closed(peer) {
+                if let Outcome::Member(word) = outcome {
+                    let news = self.roster.member(self.decided.unwrap_or(0), &word);
+                    self.events.extend(word.itself.then_some(Event::Roster(news)));
+                }
+            }
+            self.proxies.iter().find(|(_, proxy)| proxy.peer == peer).map(|(&id, _)| id)
+        } else {
+            self.streams.remove(&peer).and_then(|stream| stream.proxy)
+        };
+        let Some(proxy) = proxy else { return };
         if self.proxies.get(&proxy).is_some_and(|member| member.peer == peer) {
             self.proxies.remove(&proxy);
             self.channel.forget(proxy);
@@ -361,6 +495,7 @@
             self.reported = now;
             self.events.extend(self.reports.take());
             self.part_with_silent(now);
+            self.advice.tick();
         }
         if self.decided.is_none_or(|at| now >= at + self.deployment.tick) {
             while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= now) {
@@ -494,6 +629,9 @@
     fn write(&mut self, now: Nanos, id: ProxyId) {
         let Some(proxy) = self.proxies.get_mut(&id) else { return };
         proxy.again_at = None;
+        if proxy.front == Front::Advice {
+            return self.advise(now, id);
+        }
         let (ordered, mut serials) = proxy.due.take().unwrap_or((now, Vec::new()));
         serials.append(&mut proxy.parked);
         let Some(stream) = self.streams.get_mut(&proxy.peer) else { return };
--- a/crates/supervisor/src/daemon.rs
+++ b/crates/supervisor/src/daemon.rs
@@ -14,11 +14,15 @@
     types, Assignment, NodeFacts, Subscribing, Variant, ADS, DELTA_ADS, DELTA_EDS, EDS, HEALTH, LRS,
 };
 
+use crate::channel::Patience;
 use crate::core::{Core, Effect, Peer};
 use crate::deployment::Deployment;
 
 /// What one connection may cost: a report of thousands of servers fits, a flood does not.
-const BOUNDS: Bounds = Bounds { message: 4 << 20, calls: 64, unread: 8 << 20 };
+fn bounds(deployment: &Deployment) -> Bounds {
+    let silence = Patience::new(&deployment.facts).answer_by(0);
+    Bounds { message: 4 << 20, calls: 64, unread: 8 << 20, silence }
+}
 /// Resource name of the whole fleet at the registry.
 pub const FLEET: &str = "fleet";
 /// File of the kept list, in the deployment's folder.
@@ -31,6 +35,13 @@
     status: i32,
 }
 
+/// Which listener a connection came by.
+#[derive(Clone, Copy, PartialEq)]
+enum Front {
+    Calls,
+    Sasp,
+}
+
 enum Key {
     Dial,
     Keep,
@@ -44,7 +55,7 @@
 }
 
 struct Daemon {
-    hub: Hub<(), Key>,
+    hub: Hub<Front, Key>,
     core: Core,
     deployment: Deployment,
     calls: BTreeMap<(ConnId, StreamId), Call>,
@@ -54,12 +65,18 @@
     list: Subscribing,
     listening: bool,
     probes: BTreeMap<ConnId, (ServerId, Nanos)>,
+    /// Connections of the second front, both ways.
+    advised: BTreeMap<ConnId, Peer>,
+    balancers: BTreeMap<Peer, ConnId>,
     to_keep: bool,
     stopping: bool,
 }
 
-/// Runs until it is told to stop. `ready` is called once with the address that is served.
-pub fn run(deployment: Deployment, ready: impl FnOnce(std::net::SocketAddr) -> Result<()>) -> Result<()> {
+/// Runs until it is told to stop. `ready` is called once with the addresses that are served, the second front's last.
+pub fn run(
+    deployment: Deployment,
+    ready: impl FnOnce(Vec<std::net::SocketAddr>) -> Result<()>,
+) -> Result<()> {
     fs::create_dir_all(&deployment.folder)
         .with_context(|| format!("folder {} cannot be made", deployment.folder.display()))?;
     let kept = deployment.folder.join(KEPT);
@@ -71,10 +88,19 @@
             None
         }
     };
-    let mut hub = Hub::new(BOUNDS)?;
+    let mut hub = Hub::new(bounds(&deployment))?;
     hub.stop_on_signals()?;
-    let (_, address) =
-        hub.listen(deployment.listen, ()).with_context(|| format!("listen {}", deployment.listen))?;
+    let (_, address) = hub
+        .listen(deployment.listen, Front::Calls)
+        .with_context(|| format!("listen {}", deployment.listen))?;
+    let sasp = match deployment.sasp {
+        Some(address) => {
+            let (_, address) =
+                hub.listen_plain(address, Front::Sasp).with_context(|| format!("sasp.listen {address}"))?;
+            Some(address)
+        }
+        None => None,
+    };
     let facts = &deployment.facts;
     let node = NodeFacts {
         id: format!("supervisor-{}", facts.supervisor),
@@ -92,6 +118,8 @@
         list: Subscribing::new(Variant::StateOfTheWorld, node),
         listening: pushed,
         probes: BTreeMap::new(),
+        advised: BTreeMap::new(),
+        balancers: BTreeMap::new(),
         to_keep: false,
         stopping: false,
         deployment,
@@ -99,7 +127,7 @@
     // What opens the list's stream, whenever it is dialled.
     daemon.list.want(types::ASSIGNMENT, [FLEET.to_owned()]);
     tracing::info!(%address, supervisor = daemon.deployment.facts.supervisor, "serving");
-    ready(address)?;
+    ready([address].into_iter().chain(sasp).collect())?;
     if pushed {
         daemon.dial();
     }
@@ -115,16 +143,18 @@
         for input in self.hub.wait(Some(self.core.next().max(now())))? {
             self.take(input);
         }
-        let (hub, peers) = (&self.hub, &self.peers);
-        let blocked =
-            |peer: Peer| peers.get(&peer).is_some_and(|&(conn, stream)| hub.unread(conn, stream) > 0);
+        let (hub, peers, balancers) = (&self.hub, &self.peers, &self.balancers);
+        let blocked = |peer: Peer| match peers.get(&peer) {
+            Some(&(conn, stream)) => hub.unread(conn, stream) > 0,
+            None => balancers.get(&peer).is_some_and(|&conn| hub.unwritten(conn) > 0),
+        };
         for effect in self.core.turn(now(), blocked) {
             self.carry_out(effect);
         }
         Ok(())
     }
 
-    fn take(&mut self, input: Input<(), Key>) {
+    fn take(&mut self, input: Input<Front, Key>) {
         match input {
             Input::Call { conn, stream, path, .. } => self.called(conn, stream, &path),
             Input::Message { conn, stream, message } => match self.calls.get(&(conn, stream)) {
@@ -152,6 +182,17 @@
                 }
             }
             Input::Stop => self.stopping = true,
+            Input::Opened { conn, at: Front::Sasp } => {
+                self.last_peer += 1;
+                self.core.advised(self.last_peer);
+                self.advised.insert(conn, self.last_peer);
+                self.balancers.insert(self.last_peer, conn);
+            }
+            Input::Bytes { conn, bytes } => {
+                if let Some(&peer) = self.advised.get(&conn) {
+                    self.core.advice_heard(now(), peer, &bytes);
+                }
+            }
             Input::Opened { .. } | Input::Line(_) | Input::NoMoreLines => {}
         }
     }
@@ -193,6 +234,11 @@
     }
 
     fn closed(&mut self, conn: ConnId, why: &str) {
+        if let Some(peer) = self.advised.remove(&conn) {
+            tracing::debug!(peer, why, "a balancer's connection is over");
+            self.balancers.remove(&peer);
+            return self.core.ended(peer);
+        }
         let streams: Vec<StreamId> =
             self.calls.range((conn, 0)..=(conn, StreamId::MAX)).map(|((_, stream), _)| *stream).collect();
         streams.into_iter().for_each(|stream| self.over(conn, stream, why));
@@ -211,8 +257,17 @@
                     self.hub.send_framed(conn, stream, message);
                 }
             }
+            Effect::Write { peer, bytes } => {
+                if let Some(&conn) = self.balancers.get(&peer) {
+                    self.hub.write(conn, &bytes);
+                }
+            }
             Effect::End { peer, status } => {
                 tracing::warn!(peer, %status, "a stream is ended");
+                if let Some(conn) = self.balancers.remove(&peer) {
+                    self.advised.remove(&conn);
+                    self.hub.close(conn, false);
+                }
                 if let Some((conn, stream)) = self.peers.remove(&peer) {
                     self.calls.remove(&(conn, stream));
                     // One that reads nothing would never see a status.
--- a/crates/supervisor/src/deployment.rs
+++ b/crates/supervisor/src/deployment.rs
@@ -39,6 +39,8 @@
     #[serde(rename = "operation")]
     operations: Vec<OperationFile>,
     list: ListFile,
+    /// The second front; off unless given.
+    sasp: Option<SaspFile>,
     forwarders: ForwardersFile,
     channel: ChannelFile,
     rules: RulesFile,
@@ -76,6 +78,12 @@
     Cell,
 }
 
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SaspFile {
+    listen: SocketAddr,
+}
+
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct ListFile {
@@ -167,6 +175,8 @@
 pub struct Deployment {
     pub listen: SocketAddr,
     pub registry: SocketAddr,
+    /// Where balancers are served by SASP; nowhere unless given.
+    pub sasp: Option<SocketAddr>,
     /// Where the last list is kept.
     pub folder: PathBuf,
     /// Batches are at least so far apart.
@@ -253,6 +263,11 @@
                 return Err(check.refuse(("", 0, key), problem, "use 127.0.0.0/8 or [::1]"));
             }
         }
+        let sasp = told.sasp.map(|sasp| sasp.listen);
+        if let Some(address) = sasp.filter(|address| !address.ip().is_loopback()) {
+            let problem = format!("{address} is not a loopback address");
+            return Err(check.refuse(("sasp", 0, "listen"), problem, "use 127.0.0.0/8 or [::1]"));
+        }
         let Some(locality) = told.localities.iter().position(|name| *name == told.locality) else {
             let problem = format!("{:?} is not one of the localities", told.locality);
             return Err(check.refuse(("", 0, "locality"), problem, "name one of `localities`"));
@@ -357,6 +372,7 @@
         Ok(Deployment {
             listen: told.listen,
             registry: told.registry,
+            sasp,
             folder: told.folder,
             tick: check.span(("", 0, "tick_ms"), told.tick_ms, 0.0)?,
             operations: told.operations.into_iter().map(|operation| operation.name).collect(),
--- a/crates/supervisor/src/lib.rs
+++ b/crates/supervisor/src/lib.rs
@@ -1,5 +1,6 @@
 //! The running supervisor. [`Core`] is all of it but the sockets; [`run`] is the daemon.
 
+mod advice;
 mod channel;
 mod core;
 pub mod daemon;
@@ -13,5 +14,5 @@
 pub use daemon::run;
 pub use deployment::{Deployment, DeploymentError, Planted};
 pub use reports::Reports;
-pub use roster::Roster;
+pub use roster::{MemberWord, Roster};
 pub use tables::{Reach, Tables};
--- a/crates/supervisor/src/roster.rs
+++ b/crates/supervisor/src/roster.rs
@@ -21,6 +21,17 @@
     listed: bool,
 }
 
+/// What a member of the second front says of itself, or its balancer of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MemberWord {
+    pub address: SocketAddr,
+    /// The protocol has no word for it: its label where that is a zone, else the supervisor's own.
+    pub zone: String,
+    pub itself: bool,
+    pub there: bool,
+    pub quiesce: bool,
+}
+
 /// The list as last heard; also what is kept over a restart.
 #[derive(Debug, Default)]
 pub struct Roster {
@@ -28,8 +39,15 @@
     by_address: BTreeMap<SocketAddr, ServerId>,
     localities: Vec<String>,
     version: u64,
+    /// Addresses of servers that were said, by themselves or a balancer, to take nothing new.
+    quiesced: BTreeSet<SocketAddr>,
+    /// Servers that said of themselves that they are there, and that no registry lists: their numbers.
+    themselves: BTreeMap<SocketAddr, ServerId>,
 }
 
+/// Numbers of servers that list themselves begin here; a registry's are below.
+const THEMSELVES: ServerId = 1 << 31;
+
 impl Roster {
     pub fn new(localities: &[String]) -> Self {
         Roster { localities: localities.to_vec(), ..Roster::default() }
@@ -67,7 +85,9 @@
             };
             self.settle(facts.server, place);
         }
-        for (_, place) in self.places.iter_mut().filter(|(server, _)| !present.contains(server)) {
+        for (_, place) in
+            self.places.iter_mut().filter(|(server, _)| !present.contains(server) && **server < THEMSELVES)
+        {
             place.listed = false;
         }
         RosterNews::Full(self.rows())
@@ -82,6 +102,45 @@
         self.places.insert(server, place);
     }
 
+    /// What a member of the second front says. A registry's word that a server drains or is gone stands above
+    /// it; a member's word that it takes nothing new stands above a registry's that it is ready.
+    pub fn member(&mut self, now: Nanos, member: &MemberWord) -> RosterNews {
+        let MemberWord { address, ref zone, itself, there, quiesce } = *member;
+        if there && quiesce {
+            self.quiesced.insert(address);
+        } else {
+            self.quiesced.remove(&address);
+        }
+        let known = self.by_address.get(&address).copied();
+        match known {
+            Some(server) if server >= THEMSELVES => {
+                if let Some(place) = self.places.get_mut(&server) {
+                    // Whoever comes back may have been started anew.
+                    place.ready_at = if there && !place.listed { now } else { place.ready_at };
+                    place.listed = there;
+                }
+            }
+            None if itself && there => {
+                let server = THEMSELVES + self.themselves.len() as ServerId;
+                self.themselves.insert(address, server);
+                let place = Place {
+                    address,
+                    zone: zone.clone(),
+                    incarnation: 0,
+                    ready_at: now,
+                    kind: 0,
+                    cell: 0,
+                    weight: 1.0,
+                    draining: false,
+                    listed: true,
+                };
+                self.settle(server, place);
+            }
+            _ => {}
+        }
+        RosterNews::Full(self.rows())
+    }
+
     fn rows(&self) -> Vec<RosterRow> {
         let listed = self.places.iter().filter(|(_, place)| place.listed);
         listed
@@ -90,7 +149,10 @@
                 locality: self.locality(&place.zone).unwrap_or(0),
                 kind: place.kind,
                 cell: place.cell,
-                readiness: if place.draining { Readiness::Draining } else { Readiness::Ready },
+                readiness: match place.draining || self.quiesced.contains(&place.address) {
+                    true => Readiness::Draining,
+                    false => Readiness::Ready,
+                },
                 weight: place.weight,
                 ready_at: place.ready_at,
             })
--- a/crates/supervisor/src/tables.rs
+++ b/crates/supervisor/src/tables.rs
@@ -106,6 +106,12 @@
             .flat_map(|table| table.lines.iter().map(|(&server, &weight)| (server, weight)))
     }
 
+    /// What a server gets by a table; 0 where it is not in it or suspended.
+    pub fn weight(&self, table: TableId, server: ServerId) -> f64 {
+        let weight = self.tables.get(&table).and_then(|table| table.lines.get(&server)).copied();
+        weight.filter(|_| !self.suspended.contains(&server)).unwrap_or(0.0)
+    }
+
     pub fn lists(&self, table: TableId, server: ServerId) -> bool {
         self.tables.get(&table).is_some_and(|table| table.lines.contains_key(&server))
     }
