--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -62,6 +62,14 @@
         #[arg(long)]
         json: bool,
     },
+    /// Weights by SASP, pushed and asked, beside xDS in the same run.
+    Advice {
+        /// Members of one balancer.
+        #[arg(default_values_t = [100, 1000, 5000])]
+        members: Vec<u32>,
+        #[arg(long, default_value_t = 10)]
+        rounds: u32,
+    },
     /// Load reports a second that one supervisor takes.
     Reports {
         #[arg(default_value = "120x40")]
@@ -84,6 +92,7 @@
         Command::Measure(measure) => {
             let result = match measure {
                 Measure::Publish { sizes, rounds, json } => measure_command::publish(&sizes, rounds, json),
+                Measure::Advice { members, rounds } => measure_command::advice(&members, rounds),
                 Measure::Reports { size, seconds } => measure_command::reports(size, seconds),
             };
             result.map_or_else(failed, |()| ExitCode::SUCCESS)
--- a/crates/cli/src/measure_command.rs
+++ b/crates/cli/src/measure_command.rs
@@ -12,6 +12,7 @@
 use hdrhistogram::Histogram;
 use shalereel_reactor::{now, Nanos, MILLI, SECOND};
 use shalereel_rpc::{Bounds, ConnId, Hub, Input, Status, StreamId};
+use shalereel_sasp::{Body, Group as SaspGroup, LbFlags, Member, Message, ReturnCode};
 use shalereel_standins::Ready;
 use shalereel_xds::{
     types, Asked, Assignment, ClusterLoad, EndpointLoad, Health, LoadReport, NodeFacts, Resource, Response,
@@ -67,6 +68,10 @@
 
 impl Supervisor {
     fn start(file: &Path) -> Result<(Self, SocketAddr)> {
+        Supervisor::start_all(file).map(|(supervisor, addresses)| (supervisor, addresses[0]))
+    }
+
+    fn start_all(file: &Path) -> Result<(Self, Vec<SocketAddr>)> {
         let mut child = Command::new(std::env::current_exe()?)
             .args(["daemon", "--config"])
             .arg(file)
@@ -76,7 +81,7 @@
         let mut line = String::new();
         BufReader::new(child.stdout.take().context("no output")?).read_line(&mut line)?;
         let ready: Ready = serde_json::from_str(&line).context("the supervisor did not come up")?;
-        Ok((Supervisor(child), ready.addresses[0]))
+        Ok((Supervisor(child), ready.addresses))
     }
 
     /// Processor time so far, and the most memory that it ever had: seconds and MiB, as `/proc` tells.
@@ -580,3 +585,153 @@
     let _ = std::fs::remove_dir_all(&folder);
     Ok(())
 }
+
+/// Weights by SASP: one balancer with so many members, asked again and again, and pushed drains beside the
+/// same drains at an xDS client in the same run.
+pub fn advice(sizes: &[u32], rounds: u32) -> Result<()> {
+    for &members in sizes {
+        let folder = std::env::temp_dir().join(format!("shalereel-measure-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let measured = advice_one(Size { servers: members, forwarders: 1 }, rounds, &folder);
+        let _ = std::fs::remove_dir_all(&folder);
+        measured?;
+    }
+    Ok(())
+}
+
+/// A balancer of the measurement on a blocking socket.
+struct Balancer {
+    socket: TcpStream,
+    frames: shalereel_sasp::Frames,
+}
+
+impl Balancer {
+    fn say(&mut self, body: Body) -> Result<()> {
+        Ok(self.socket.write_all(&Message { id: 1, body }.encode())?)
+    }
+
+    /// The next message and the time when it was whole.
+    fn next(&mut self) -> Result<(Nanos, Body, usize)> {
+        let mut piece = vec![0; 1 << 16];
+        let mut bytes = 0;
+        loop {
+            if let Some(message) = self.frames.take()? {
+                return Ok((now(), message.body, bytes));
+            }
+            let count = self.socket.read(&mut piece)?;
+            if count == 0 {
+                bail!("the supervisor ended the connection");
+            }
+            bytes += count;
+            self.frames.push(&piece[..count]);
+        }
+    }
+}
+
+fn member_at(server: u32) -> Member {
+    let address = match address(server).ip() {
+        std::net::IpAddr::V4(ip) => ip.to_ipv6_mapped(),
+        std::net::IpAddr::V6(ip) => ip,
+    };
+    Member { protocol: 6, port: address_port(server), address, label: Vec::new() }
+}
+
+fn address_port(server: u32) -> u16 {
+    address(server).port()
+}
+
+fn advice_one(size: Size, rounds: u32, folder: &Path) -> Result<()> {
+    let (mut registry, list) = Registry::new(size)?;
+    let file = folder.join("supervisor.toml");
+    let text = deployment(size, "127.0.0.1:0", list, folder)
+        .replace("\n[list]", "\n[sasp]\nlisten = \"127.0.0.1:0\"\n\n[list]");
+    // One forwarder and one balancer.
+    std::fs::write(&file, text.replace("count = 1\n", "count = 2\n"))?;
+    let (supervisor, served) = Supervisor::start_all(&file)?;
+    let groups = Group::spawn(size, served[0]);
+    let idle = supervisor.cost()?.1;
+    let (results, pushed) = mpsc::channel();
+    let (drains, drained) = mpsc::channel::<Member>();
+    let front = served[1];
+    let balancer = thread::spawn(move || -> Result<(u64, usize)> {
+        let group = SaspGroup { balancer: b"m".to_vec(), name: OPERATIONS[0].into() };
+        let socket = TcpStream::connect(front)?;
+        socket.set_read_timeout(Some(std::time::Duration::from_nanos(PATIENCE)))?;
+        let mut balancer = Balancer { socket, frames: shalereel_sasp::Frames::new(8 << 20) };
+        let flags = LbFlags { push: true, trust: false, no_change: true };
+        balancer.say(Body::SetLbState { balancer: b"m".to_vec(), health: 0, flags })?;
+        let all = (0..size.servers).map(member_at).collect();
+        balancer.say(Body::Register { from_balancer: true, groups: vec![(group.clone(), all)] })?;
+        while let Ok(member) = drained.recv() {
+            loop {
+                let (at, body, bytes) = balancer.next()?;
+                let Body::SendWeights { groups } = body else { continue };
+                let out = |entry: &shalereel_sasp::WeightEntry| entry.member == member && entry.weight == 0;
+                if groups.iter().flat_map(|group| &group.1).any(out) {
+                    let _ = results.send((at, bytes));
+                    break;
+                }
+            }
+        }
+        // Asked now and then: a supervisor answers some requests a cycle, and tells more to try later.
+        let mut answers = Histogram::<u64>::new(3)?;
+        let mut size = 0;
+        for _ in 0..60 {
+            let begun = now();
+            balancer.say(Body::GetWeights { groups: vec![group.clone()] })?;
+            let (at, body, bytes) = loop {
+                match balancer.next()? {
+                    (_, Body::SendWeights { .. }, _) => {}
+                    other => break other,
+                }
+            };
+            if let Body::Weights { code: ReturnCode::Successful, .. } = body {
+                answers.record(at - begun)?;
+                size = bytes;
+            }
+            thread::sleep(std::time::Duration::from_millis(25));
+        }
+        Ok((answers.value_at_quantile(0.5), size))
+    });
+    let tell = |wait: fn(SocketAddr, usize) -> Wait, address| {
+        let all = size.servers as usize;
+        groups.iter().try_for_each(|group| group.waits.send(wait(address, all)).context("a thread is gone"))
+    };
+    tell(Wait::Tables, served[0])?;
+    registry.until("all tables held", &groups)?;
+    let (mut by_xds, mut by_sasp) = (Histogram::<u64>::new(3)?, Histogram::<u64>::new(3)?);
+    let before = supervisor.cost()?.0;
+    for round in 0..rounds {
+        let server = round % size.servers;
+        tell(|address, _| Wait::Without(address), address(server))?;
+        drains.send(member_at(server))?;
+        registry.turn(now() + 20 * MILLI)?;
+        registry.draining = Some(server);
+        let begun = registry.say_list();
+        by_xds.record(registry.until("a drain", &groups)?.0 - begun)?;
+        let (at, _) = pushed.recv_timeout(std::time::Duration::from_nanos(PATIENCE))?;
+        by_sasp.record(at.saturating_sub(begun))?;
+        registry.draining = None;
+        registry.say_list();
+        tell(Wait::Tables, served[0])?;
+        registry.until("a return", &groups)?;
+    }
+    let (after, peak) = supervisor.cost()?;
+    drop(drains);
+    let (answer, bytes) = balancer.join().map_err(|_| anyhow::anyhow!("the balancer failed"))??;
+    println!(
+        "{} members: drain to weight 0 pushed by SASP {:.2} ms (p99 {:.2}), to the table by xDS {:.2} ms (p99 {:.2}); \
+         an asked answer of {bytes} bytes in {:.2} ms, {:.0} weights a second; {:.1} us of processor a member and \
+         drain; {:.1} MiB with both connections, {idle:.1} without",
+        size.servers,
+        ms(by_sasp.value_at_quantile(0.5)),
+        ms(by_sasp.value_at_quantile(0.99)),
+        ms(by_xds.value_at_quantile(0.5)),
+        ms(by_xds.value_at_quantile(0.99)),
+        ms(answer),
+        f64::from(size.servers) / (answer as f64 / SECOND as f64),
+        1e6 * (after - before) / f64::from(rounds) / f64::from(size.servers),
+        peak,
+    );
+    Ok(())
+}
--- a/crates/supervisor/tests/core.rs
+++ b/crates/supervisor/tests/core.rs
@@ -64,14 +64,20 @@
     core: Core,
     now: Nanos,
     said: Vec<(Peer, Vec<u8>)>,
+    written: Vec<(Peer, Vec<u8>)>,
     ended: Vec<(Peer, Code)>,
 }
 
 impl World {
     fn new(kept: Option<&[u8]>) -> Self {
         let deployment = Deployment::parse(Path::new("file"), FILE).unwrap();
-        let mut world =
-            World { core: Core::new(deployment, SECOND, kept), now: SECOND, said: vec![], ended: vec![] };
+        let mut world = World {
+            core: Core::new(deployment, SECOND, kept),
+            now: SECOND,
+            said: vec![],
+            written: vec![],
+            ended: vec![],
+        };
         world.run(1);
         world
     }
@@ -86,6 +92,7 @@
                         framer.push(&message);
                         self.said.push((peer, framer.take().unwrap().unwrap().to_vec()));
                     }
+                    Effect::Write { peer, bytes } => self.written.push((peer, bytes)),
                     Effect::End { peer, status } => self.ended.push((peer, status.code)),
                     _ => {}
                 }
@@ -340,3 +347,145 @@
     assert!(matches!(events[1], Event::Intake { total: 6, lost: 1, .. }), "{events:?}");
     assert_eq!((events.len(), reports.strangers, reports.take().len()), (2, 1, 0));
 }
+
+mod second_front {
+    use super::*;
+    use shalereel_sasp::{
+        Body, Frames, Group, LbFlags, Member, MemberState, Message, ReturnCode, WeightEntry,
+    };
+
+    fn member(server: u8) -> Member {
+        let address = std::net::Ipv4Addr::new(127, 1, 0, server).to_ipv6_mapped();
+        Member { protocol: 6, port: 80, address, label: b"b".to_vec() }
+    }
+
+    fn group(name: &str) -> Group {
+        Group { balancer: b"lb".to_vec(), name: name.into() }
+    }
+
+    fn tell(world: &mut World, peer: Peer, body: Body) {
+        world.core.advice_heard(world.now, peer, &Message { id: 1, body }.encode());
+    }
+
+    /// A balancer on `peer` that has registered servers 1 to 5 for both operations.
+    fn balancer(world: &mut World, peer: Peer, push: bool, trust: bool) {
+        world.core.advised(peer);
+        let flags = LbFlags { push, trust, no_change: false };
+        tell(world, peer, Body::SetLbState { balancer: b"lb".to_vec(), health: 0, flags });
+        let groups = ["view", "order"].map(|name| (group(name), (1..6).map(member).collect()));
+        tell(world, peer, Body::Register { from_balancer: true, groups: groups.to_vec() });
+    }
+
+    fn bodies(world: &mut World, peer: Peer) -> Vec<Body> {
+        let mut frames = Frames::new(1 << 20);
+        for (to, bytes) in std::mem::take(&mut world.written) {
+            assert_eq!(to, peer);
+            frames.push(&bytes);
+        }
+        std::iter::from_fn(|| frames.take().unwrap().map(|message| message.body)).collect()
+    }
+
+    /// What the last weights say of one group: by server.
+    fn weights(bodies: &[Body], name: &str) -> Option<Vec<(u8, u16, bool)>> {
+        let groups = bodies.iter().rev().find_map(|body| match body {
+            Body::SendWeights { groups } | Body::Weights { code: ReturnCode::Successful, groups, .. } => {
+                Some(groups)
+            }
+            _ => None,
+        })?;
+        let entries: &Vec<WeightEntry> = &groups.iter().find(|one| one.0 == group(name))?.1;
+        let server = |entry: &WeightEntry| entry.member.address.to_ipv4_mapped().unwrap().octets()[3];
+        Some(entries.iter().map(|entry| (server(entry), entry.weight, entry.quiesce)).collect())
+    }
+
+    /// At every version, what either front says differs by rounding alone.
+    #[test]
+    fn both_fronts_say_the_same() {
+        let mut world = World::new(None);
+        world.list(&[]);
+        let mut client = world.open(1, "f", Variant::StateOfTheWorld);
+        let message = client.want(types::ASSIGNMENT, ["view".to_owned()]);
+        world.core.said(world.now, 1, &message);
+        balancer(&mut world, 2, true, false);
+        for draining in [&[][..], &[3], &[3, 4], &[2]] {
+            world.list(draining);
+            world.run(1500);
+            let update = world.read(1, &mut client).pop().unwrap();
+            let table = Assignment::decode(&update.resources[0]).unwrap();
+            let said = weights(&bodies(&mut world, 2), "view").unwrap();
+            let most = table.rows.iter().map(|row| row.weight).fold(0.0, f64::max);
+            for (server, weight, quiesce) in said {
+                let row =
+                    table.rows.iter().find(|row| row.address.ip().to_string() == format!("127.1.0.{server}"));
+                let told = row.map_or(0.0, |row| row.weight / most * 65535.0);
+                assert!(
+                    (f64::from(weight) - told).abs() <= 1.0 + told / 5000.0,
+                    "{server}: {weight} and {told}"
+                );
+                assert_eq!(quiesce, row.is_none());
+                assert!(!draining.contains(&server.into()) || weight == 0);
+            }
+        }
+        // What goes to a balancer is confirmed: nothing waits for it.
+        assert!(world.ended.is_empty());
+    }
+
+    #[test]
+    fn a_balancer_that_asks_is_told_to_wait_until_it_is_on_a_table() {
+        let mut world = World::new(None);
+        balancer(&mut world, 2, false, false);
+        let ask = |world: &mut World| tell(world, 2, Body::GetWeights { groups: vec![group("view")] });
+        ask(&mut world);
+        world.run(10);
+        let first = bodies(&mut world, 2);
+        assert!(first.iter().any(|body| matches!(body, Body::Weights { code: ReturnCode::TryLater, .. })));
+        world.list(&[]);
+        world.run(1500);
+        ask(&mut world);
+        world.run(10);
+        let got = bodies(&mut world, 2);
+        assert_eq!(
+            weights(&got, "view").unwrap().iter().filter(|entry| entry.1 == 65535).count(),
+            5,
+            "{got:?}"
+        );
+    }
+
+    #[test]
+    fn members_that_list_themselves_are_served_and_drain_by_their_own_word() {
+        let mut world = World::new(None);
+        world.list(&[]);
+        let mut client = world.open(1, "f", Variant::StateOfTheWorld);
+        let message = client.want(types::ASSIGNMENT, ["view".to_owned()]);
+        world.core.said(world.now, 1, &message);
+        balancer(&mut world, 2, true, true);
+        world.run(1500);
+        world.core.advised(3);
+        let groups = vec![(group("view"), vec![member(77)])];
+        tell(&mut world, 3, Body::Register { from_balancer: false, groups });
+        let held = |world: &mut World, client: &mut Subscribing| {
+            // It is cold at first, and waits outside as long as nothing is known of the others.
+            world.run(10_000);
+            world.written.clear();
+            let update = world.read(1, client).pop().unwrap();
+            let rows = Assignment::decode(&update.resources[0]).unwrap().rows;
+            let zone = rows
+                .iter()
+                .find(|row| row.address.ip().to_string() == "127.1.0.77")
+                .map(|row| row.zone.clone());
+            (rows.len(), zone)
+        };
+        // Its label is a zone.
+        assert_eq!(held(&mut world, &mut client), (6, Some("b".to_owned())));
+        let quiesce = |quiesce| {
+            let member = MemberState { state: 0, contact: false, quiesce, member: member(77) };
+            Body::SetMemberState { from_balancer: false, groups: vec![(group("view"), vec![member])] }
+        };
+        tell(&mut world, 3, quiesce(true));
+        assert_eq!(held(&mut world, &mut client), (5, None));
+        tell(&mut world, 3, quiesce(false));
+        assert_eq!(held(&mut world, &mut client).0, 6);
+        world.core.ended(3);
+        assert_eq!(held(&mut world, &mut client), (5, None));
+    }
+}
