--- a/crates/drill/src/day.rs
+++ b/crates/drill/src/day.rs
@@ -177,6 +177,7 @@
     ForwarderDeaf,
     TurnDown,
     GhostReports,
+    OddBalancers,
     SupervisorCrash,
     SupervisorStall,
     SlowChannel,
--- a/crates/drill/src/play.rs
+++ b/crates/drill/src/play.rs
@@ -242,6 +242,10 @@
                     Command::ReportGhost { on: false },
                 );
             }
+            OddBalancers => {
+                let command = |on| Command::OddBalancers { on };
+                both(self, Staged::Forwarders, command(true), command(false));
+            }
             SupervisorCrash | SupervisorStall => {
                 let all = (0..u32::from(self.day.supervisors.count)).collect();
                 for number in self.drawn(trouble, all) {
--- a/crates/standins/src/forwarders.rs
+++ b/crates/standins/src/forwarders.rs
@@ -9,7 +9,7 @@
 use shalereel::interface::{FurtherTry, Nanos};
 use shalereel_reactor::{now, TimerId, Token, SECOND};
 use shalereel_rpc::{Code, ConnId, Hub, Input, Status, StreamId};
-use shalereel_sasp::{Body, Frames, Group, LbFlags, Member, Message, ReturnCode, WeightEntry};
+use shalereel_sasp::{Body, Frames, Group, LbFlags, Member, MemberState, Message, ReturnCode, WeightEntry};
 use shalereel_xds::{
     read_retries, types, Assignment, ClusterLoad, EndpointLoad, Health, LoadAnswer, LoadReport, NodeFacts,
     Subscribing, Update, Variant, ADS, DELTA_ADS, LRS, SHUNNED,
@@ -28,6 +28,17 @@
     Report(u32, u64),
     Send(u32, ConnId, Vec<u8>),
     TryOver(u64),
+    Odd,
+}
+
+/// What an odd balancer does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Odd {
+    Asks,
+    ReadsNothing,
+    Dies,
+    TakesAway,
+    Flaps,
 }
 
 #[derive(Clone, Debug)]
@@ -118,6 +129,8 @@
     cut: Vec<String>,
     late: Nanos,
     ghost: bool,
+    odd: BTreeMap<ConnId, Odd>,
+    oddity: u32,
     last: u64,
     chance: Rand64,
     trace: Trace,
@@ -143,6 +156,8 @@
         cut: Vec::new(),
         late: 0,
         ghost: false,
+        odd: BTreeMap::new(),
+        oddity: 0,
         last: 0,
         chance: Rand64::new(plan.seed.into()),
         trace,
@@ -297,6 +312,7 @@
                     self.tried(trial, Err((Status::new(Code::DeadlineExceeded, "no answer in time"), false)));
                 }
             }
+            Input::Due(Key::Odd) => self.be_odd(),
             Input::Line(line) => self.command(serde_json::from_str(&line)?),
             Input::NoMoreLines | Input::Stop => return Ok(false),
         }
@@ -794,6 +810,9 @@
         if let Some(&id) = self.links.get(&conn) {
             return self.lost(id);
         }
+        if self.odd.remove(&conn).is_some() {
+            return;
+        }
         if let Some((id, address)) = self.servers.remove(&conn) {
             if let Some(forwarder) = self.forwarders.get_mut(&id) {
                 forwarder.conns.remove(&address);
@@ -888,6 +907,95 @@
 
     // Troubles.
 
+    fn odd_group(balancer: &str, name: &str) -> Group {
+        Group { balancer: balancer.into(), name: name.into() }
+    }
+
+    /// Opens what is missing at the first supervisor that answers, and does one more thing on each.
+    fn be_odd(&mut self) {
+        if self.oddity == 0 {
+            return;
+        }
+        self.oddity += 1;
+        self.hub.set(now() + SECOND / 1000, Key::Odd);
+        let operation = self.plan.operations[0].name.clone();
+        let own = |servers: Vec<Member>| {
+            let groups = vec![(Self::odd_group("odd", &operation), servers)];
+            Body::Register { from_balancer: true, groups }
+        };
+        let address = |at: u16| SocketAddr::from(([127, 9, (at >> 8) as u8, at as u8], 9));
+        for kind in [Odd::Asks, Odd::ReadsNothing, Odd::Dies, Odd::TakesAway, Odd::Flaps] {
+            if self.odd.values().any(|&known| known == kind) || !self.oddity.is_multiple_of(50) {
+                continue;
+            }
+            let at = (self.oddity as usize / 50) % self.plan.sasp.len().max(1);
+            let Some(Ok(conn)) = self.plan.sasp.get(at).map(|&front| self.hub.dial_plain(front)) else {
+                return;
+            };
+            self.odd.insert(conn, kind);
+            let opening = match kind {
+                Odd::Asks => {
+                    let flags = LbFlags { push: false, trust: true, no_change: false };
+                    let state = Body::SetLbState { balancer: b"odd".to_vec(), health: 0, flags };
+                    vec![state, own(vec![member(address(1))])]
+                }
+                Odd::ReadsNothing => {
+                    let flags = LbFlags { push: true, trust: false, no_change: false };
+                    let balancer = b"odd-large".to_vec();
+                    let groups = vec![(
+                        Self::odd_group("odd-large", &operation),
+                        (0..10_000).map(|at| member(address(at))).collect(),
+                    )];
+                    vec![
+                        Body::SetLbState { balancer, health: 0, flags },
+                        Body::Register { from_balancer: true, groups },
+                    ]
+                }
+                Odd::Flaps => {
+                    let groups = vec![(Self::odd_group("odd", &operation), vec![member(address(2))])];
+                    vec![Body::Register { from_balancer: false, groups }]
+                }
+                Odd::Dies | Odd::TakesAway => Vec::new(),
+            };
+            for body in opening {
+                self.hub.write(conn, &Message { id: 1, body }.encode());
+            }
+        }
+        let time = self.oddity;
+        for (conn, kind) in self.odd.clone() {
+            let body = match kind {
+                Odd::Asks => Body::GetWeights { groups: vec![Self::odd_group("odd", &operation)] },
+                Odd::ReadsNothing => {
+                    self.hub.pause(conn, true);
+                    continue;
+                }
+                Odd::Dies => {
+                    // Half a message, then a reset.
+                    if time.is_multiple_of(20) {
+                        self.hub.write(conn, &Message { id: 1, body: own(Vec::new()) }.encode()[..20]);
+                    } else if time % 20 == 10 {
+                        self.odd.remove(&conn);
+                        self.hub.close(conn, true);
+                    }
+                    continue;
+                }
+                Odd::TakesAway => {
+                    let groups = vec![(Self::odd_group("balancer-0", &operation), Vec::new())];
+                    Body::Deregister { from_balancer: true, reason: 0, groups }
+                }
+                Odd::Flaps => {
+                    let (state, contact, quiesce) = (0, true, time.is_multiple_of(2));
+                    let states = vec![MemberState { state, contact, quiesce, member: member(address(2)) }];
+                    let groups = vec![(Self::odd_group("odd", &operation), states)];
+                    Body::SetMemberState { from_balancer: false, groups }
+                }
+            };
+            if kind != Odd::TakesAway || time.is_multiple_of(20) {
+                self.hub.write(conn, &Message { id: 2, body }.encode());
+            }
+        }
+    }
+
     fn die(&mut self, id: u32) {
         let Some(forwarder) = self.forwarders.get_mut(&id).filter(|forwarder| forwarder.alive) else {
             return;
@@ -964,6 +1072,14 @@
             }
             Command::LateReports { delay } => self.late = delay,
             Command::Cut { zones } => self.cut = zones,
+            Command::OddBalancers { on } => {
+                self.oddity = u32::from(on);
+                if on {
+                    self.hub.set(now(), Key::Odd);
+                } else {
+                    std::mem::take(&mut self.odd).into_keys().for_each(|conn| self.hub.close(conn, true));
+                }
+            }
             Command::ReportGhost { on } => self.ghost = on,
             other => eprintln!("forwarders cannot {other:?}"),
         }
--- a/crates/standins/src/plan.rs
+++ b/crates/standins/src/plan.rs
@@ -251,6 +251,11 @@
     Cut {
         zones: Vec<String>,
     },
+    /// Balancers that do what none should: ask every millisecond, read nothing, register ten thousand, die inside
+    /// a message, take away another's group; and a member that says of itself now this, now that.
+    OddBalancers {
+        on: bool,
+    },
     /// Load of a server that was never there is reported too.
     ReportGhost {
         on: bool,
