Share one type of file error, and one look at who may speak for members

Need: the deployment's and the drill's files were refused by two copies of one error, and two requests of SASP checked their members by two copies of one loop. No behaviour changes.

--- a/crates/drill/src/day.rs
+++ b/crates/drill/src/day.rs
@@ -1,21 +1,10 @@
 //! A drill's file: fleet, demand, troubles with times, and the service that is expected.
 
-use std::fs;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use serde::Deserialize;
 use shalereel_standins::{KindPlan, OperationPlan, Pick, Repeats, WhichEffect};
-use thiserror::Error;
-
-#[derive(Debug, Error)]
-pub enum DayError {
-    #[error("{file}: cannot be read: {error}")]
-    Unreadable { file: PathBuf, error: std::io::Error },
-    #[error("{file}: {error}")]
-    Malformed { file: PathBuf, error: Box<toml::de::Error> },
-    #[error("{file}:{line}: {key}: {problem}; {remedy}")]
-    Refused { file: PathBuf, line: usize, key: String, problem: String, remedy: String },
-}
+use shalereel_supervisor::FileError;
 
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -239,19 +228,16 @@
 }
 
 impl Day {
-    pub fn read(file: &Path) -> Result<Self, DayError> {
-        let text = fs::read_to_string(file)
-            .map_err(|error| DayError::Unreadable { file: file.to_owned(), error })?;
-        Day::parse(file, &text)
+    pub fn read(file: &Path) -> Result<Self, FileError> {
+        Day::parse(file, &FileError::read(file)?)
     }
 
     /// `file` is only named in errors.
-    pub fn parse(file: &Path, text: &str) -> Result<Self, DayError> {
-        let day: Day = toml::from_str(text)
-            .map_err(|error| DayError::Malformed { file: file.to_owned(), error: Box::new(error) })?;
+    pub fn parse(file: &Path, text: &str) -> Result<Self, FileError> {
+        let day: Day = FileError::parse(file, text)?;
         let refuse = |line: usize, key: &str, problem: String, remedy: &str| {
             let (key, remedy) = (key.to_owned(), remedy.to_owned());
-            Err(DayError::Refused { file: file.to_owned(), line, key, problem, remedy })
+            Err(FileError::Refused { file: file.to_owned(), line, key, problem, remedy })
         };
         let line_of = |key: &str| {
             let stands = |line: &str| line.split('=').next().is_some_and(|name| name.trim() == key);
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -8,7 +8,7 @@
 mod stage;
 
 pub use bench::from_bench;
-pub use day::{Day, DayError, Trouble};
+pub use day::{Day, Trouble};
 pub use judge::{judge, Breach, Measure, Rule, Verdict, Window};
 pub use play::play;
 pub use report::{as_json, as_text};
--- a/crates/sasp/src/session.rs
+++ b/crates/sasp/src/session.rs
@@ -203,6 +203,23 @@
         }
     }
 
+    /// May it speak for each of these? A member speaks for itself and for nobody else.
+    fn may_each<'a>(
+        &self,
+        peer: Peer,
+        from_balancer: bool,
+        group: &Group,
+        mut members: impl Iterator<Item = &'a Member>,
+    ) -> ReturnCode {
+        let Some(known) = self.groups.get(group) else { return ReturnCode::InvalidGroup };
+        let refused = members.find_map(|member| match known.get(member) {
+            None => Some(ReturnCode::NotRegistered),
+            Some(known) if !from_balancer && known.itself != Some(peer) => Some(ReturnCode::WillNotAccept),
+            Some(_) => None,
+        });
+        refused.unwrap_or(ReturnCode::Successful)
+    }
+
     /// All of a request or nothing of it.
     fn register(
         &mut self,
@@ -263,16 +280,9 @@
             if may != ReturnCode::Successful {
                 return may;
             }
-            let Some(known) = self.groups.get(group) else { return ReturnCode::InvalidGroup };
-            for member in members {
-                match known.get(member) {
-                    None => return ReturnCode::NotRegistered,
-                    // A member takes away itself and nobody else.
-                    Some(known) if !from_balancer && known.itself != Some(peer) => {
-                        return ReturnCode::WillNotAccept;
-                    }
-                    Some(_) => {}
-                }
+            let may = self.may_each(peer, from_balancer, group, members.iter());
+            if may != ReturnCode::Successful {
+                return may;
             }
             if members.is_empty() && !from_balancer {
                 return ReturnCode::WillNotAccept;
@@ -319,15 +329,9 @@
             if may != ReturnCode::Successful {
                 return may;
             }
-            let Some(known) = self.groups.get(group) else { return ReturnCode::InvalidGroup };
-            for state in states {
-                match known.get(&state.member) {
-                    None => return ReturnCode::NotRegistered,
-                    Some(known) if !from_balancer && known.itself != Some(peer) => {
-                        return ReturnCode::WillNotAccept;
-                    }
-                    Some(_) => {}
-                }
+            let may = self.may_each(peer, from_balancer, group, states.iter().map(|state| &state.member));
+            if may != ReturnCode::Successful {
+                return may;
             }
         }
         for (group, states) in groups {
--- a/crates/supervisor/src/deployment.rs
+++ b/crates/supervisor/src/deployment.rs
@@ -6,14 +6,16 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use shalereel::interface::{
     Admission, Effect, ListedSize, LoadColumn, LoadSource, Nanos, Operation, RepeatScope, StartupFacts,
 };
 use thiserror::Error;
 
+/// What is wrong with a file that an operator wrote.
 #[derive(Debug, Error)]
-pub enum DeploymentError {
+pub enum FileError {
     #[error("{file}: cannot be read: {error}")]
     Unreadable { file: PathBuf, error: std::io::Error },
     #[error("{file}: {error}")]
@@ -22,6 +24,19 @@
     Refused { file: PathBuf, line: usize, key: String, problem: String, remedy: String },
 }
 
+impl FileError {
+    /// The whole text of a file.
+    pub fn read(file: &Path) -> Result<String, FileError> {
+        fs::read_to_string(file).map_err(|error| FileError::Unreadable { file: file.to_owned(), error })
+    }
+
+    /// The text as what it should be.
+    pub fn parse<T: DeserializeOwned>(file: &Path, text: &str) -> Result<T, FileError> {
+        toml::from_str(text)
+            .map_err(|error| FileError::Malformed { file: file.to_owned(), error: Box::new(error) })
+    }
+}
+
 /// What the file says, as it stands there. Times are milliseconds.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -211,13 +226,8 @@
         1
     }
 
-    fn refuse(
-        &self,
-        (section, at, key): (&str, usize, &str),
-        problem: String,
-        remedy: &str,
-    ) -> DeploymentError {
-        DeploymentError::Refused {
+    fn refuse(&self, (section, at, key): (&str, usize, &str), problem: String, remedy: &str) -> FileError {
+        FileError::Refused {
             file: self.file.to_owned(),
             line: self.line(section, at, key),
             key: if section.is_empty() { key.to_owned() } else { format!("{section}.{key}") },
@@ -231,7 +241,7 @@
         place: (&str, usize, &str),
         value: f64,
         (least, most): (f64, f64),
-    ) -> Result<f64, DeploymentError> {
+    ) -> Result<f64, FileError> {
         if value.is_finite() && (least..=most).contains(&value) {
             return Ok(value);
         }
@@ -239,23 +249,20 @@
         Err(self.refuse(place, format!("{value} is out of range"), &remedy))
     }
 
-    fn span(&self, place: (&str, usize, &str), ms: f64, least: f64) -> Result<Nanos, DeploymentError> {
+    fn span(&self, place: (&str, usize, &str), ms: f64, least: f64) -> Result<Nanos, FileError> {
         Ok((self.within(place, ms, (least, 86_400_000.0))? * 1e6).round() as Nanos)
     }
 }
 
 impl Deployment {
     /// Reads and checks a file.
-    pub fn read(file: &Path) -> Result<Self, DeploymentError> {
-        let text = fs::read_to_string(file)
-            .map_err(|error| DeploymentError::Unreadable { file: file.to_owned(), error })?;
-        Deployment::parse(file, &text)
+    pub fn read(file: &Path) -> Result<Self, FileError> {
+        Deployment::parse(file, &FileError::read(file)?)
     }
 
     /// `file` is only named in errors.
-    pub fn parse(file: &Path, text: &str) -> Result<Self, DeploymentError> {
-        let told: File = toml::from_str(text)
-            .map_err(|error| DeploymentError::Malformed { file: file.to_owned(), error: Box::new(error) })?;
+    pub fn parse(file: &Path, text: &str) -> Result<Self, FileError> {
+        let told: File = FileError::parse(file, text)?;
         let check = Checker { file, text };
         for (key, address) in [("listen", told.listen), ("registry", told.registry)] {
             if !address.ip().is_loopback() {
--- a/crates/supervisor/src/lib.rs
+++ b/crates/supervisor/src/lib.rs
@@ -12,7 +12,7 @@
 pub use crate::core::{Core, Effect, Peer, LISTENER, PREFIX};
 pub use channel::{Channel, Departure, Patience, Verdict};
 pub use daemon::run;
-pub use deployment::{Deployment, DeploymentError, Planted};
+pub use deployment::{Deployment, FileError, Planted};
 pub use reports::Reports;
 pub use roster::{MemberWord, Roster};
 pub use tables::{Reach, Tables};
