Bring a killed supervisor of a drill back with the end of the last trouble

Cause: two overlapping troubles that kill one supervisor started it twice, and the second start found its address taken; the drill ended with an error. Each trouble now counts, and the last one's end starts it.

--- a/crates/drill/src/play.rs
+++ b/crates/drill/src/play.rs
@@ -292,7 +292,7 @@
             }
         }
         Action::KillSupervisor(number) => stage.kill_supervisor(number),
-        Action::StartSupervisor(number) => stage.start_supervisor(number)?,
+        Action::StartSupervisor(number) => stage.revive_supervisor(number)?,
         Action::StallSupervisor(number, on) => stage.stall_supervisor(number, on),
         Action::Revive(forwarders) => {
             let listed = stage.list.values().filter(|row| row.state == ListedAs::Ready);
--- a/crates/drill/src/stage.rs
+++ b/crates/drill/src/stage.rs
@@ -90,6 +90,8 @@
     actors: BTreeMap<Staged, Actor>,
     /// Each with its address on either front.
     supervisors: Vec<(Option<Actor>, [SocketAddr; 2])>,
+    /// Troubles that keep a supervisor down; it comes back with the end of the last one.
+    down: Vec<u32>,
     registry: SocketAddr,
     /// The list as it truly is.
     pub list: BTreeMap<u32, Listed>,
@@ -106,6 +108,7 @@
             day: day.clone(),
             actors: BTreeMap::new(),
             supervisors: Vec::new(),
+            down: vec![0; day.supervisors.count.into()],
             registry: SocketAddr::from(([127, 0, 0, 1], 0)),
             list: BTreeMap::new(),
         };
@@ -273,7 +276,7 @@
         self.tell(Staged::Registry, &Command::List { rows })
     }
 
-    pub fn start_supervisor(&mut self, number: usize) -> Result<()> {
+    fn start_supervisor(&mut self, number: usize) -> Result<()> {
         let name = format!("supervisor-{number}");
         let state = self.folder.join(&name);
         let file = self.folder.join(format!("{name}.toml"));
@@ -294,12 +297,22 @@
         Ok(())
     }
 
+    /// What killed it is over: it starts again unless something else still keeps it down.
+    pub fn revive_supervisor(&mut self, number: usize) -> Result<()> {
+        self.down[number] = self.down[number].saturating_sub(1);
+        if self.down[number] > 0 {
+            return Ok(());
+        }
+        self.start_supervisor(number)
+    }
+
     pub fn supervisors(&self) -> usize {
         self.supervisors.len()
     }
 
     /// Outright, as a machine that loses its power.
     pub fn kill_supervisor(&mut self, number: usize) {
+        self.down[number] += 1;
         if let Some(mut actor) = self.supervisors[number].0.take() {
             actor.kill();
         }
