Keep waits and limits of the supervisor in a decision module

Cause: on a last reading, redial and keep times, the limits of a connection and those of a balancer stood in the socket loop and beside it; a count of load at servers nobody listed was kept and never told; a few fields and a function had no reader. crates/supervisor/src/patience.rs decides them now, with its test; the count is logged each cycle; dead state is gone; one constructor makes a SASP member of an address.

--- a/crates/cli/src/measure_command.rs
+++ b/crates/cli/src/measure_command.rs
@@ -629,15 +629,7 @@
 }
 
 fn member_at(server: u32) -> Member {
-    let address = match address(server).ip() {
-        std::net::IpAddr::V4(ip) => ip.to_ipv6_mapped(),
-        std::net::IpAddr::V6(ip) => ip,
-    };
-    Member { protocol: 6, port: address_port(server), address, label: Vec::new() }
-}
-
-fn address_port(server: u32) -> u16 {
-    address(server).port()
+    Member::tcp(address(server))
 }
 
 fn advice_one(size: Size, rounds: u32, folder: &Path) -> Result<()> {
--- a/crates/cli/tests/sasp.rs
+++ b/crates/cli/tests/sasp.rs
@@ -73,8 +73,7 @@
 }
 
 fn member(server: u32) -> Member {
-    let address = std::net::Ipv4Addr::from(0x7f01_0000 + server).to_ipv6_mapped();
-    Member { protocol: 6, port: 80, address, label: Vec::new() }
+    Member::tcp(SocketAddr::from((std::net::Ipv4Addr::from(0x7f01_0000 + server), 80)))
 }
 
 fn register(balancer: &str, servers: std::ops::Range<u32>) -> Body {
--- a/crates/sasp/src/message.rs
+++ b/crates/sasp/src/message.rs
@@ -1,4 +1,4 @@
-use std::net::Ipv6Addr;
+use std::net::{IpAddr, Ipv6Addr, SocketAddr};
 
 use crate::numbers::*;
 
@@ -63,6 +63,21 @@
     pub label: Vec<u8>,
 }
 
+impl Member {
+    /// A server that is reached by TCP at an address.
+    pub fn tcp(address: SocketAddr) -> Self {
+        let ip = match address.ip() {
+            IpAddr::V4(ip) => ip.to_ipv6_mapped(),
+            IpAddr::V6(ip) => ip,
+        };
+        Member { protocol: 6, port: address.port(), address: ip, label: Vec::new() }
+    }
+
+    pub fn socket(&self) -> SocketAddr {
+        SocketAddr::new(self.address.to_canonical(), self.port)
+    }
+}
+
 /// A group of members, known by the balancer that has it (Group Data Component).
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Group {
--- a/crates/sasp/src/session.rs
+++ b/crates/sasp/src/session.rs
@@ -37,7 +37,6 @@
     /// The balancer's id, once it has said one.
     uid: Option<Vec<u8>>,
     flags: LbFlags,
-    health: u8,
     asks: u32,
 }
 
@@ -145,8 +144,8 @@
                 Body::Deregistered(self.deregister(peer, from_balancer, groups, changes))
             }
             Body::GetWeights { groups } => self.weights(peer, &groups, lookup),
-            Body::SetLbState { balancer, health, flags } => {
-                Body::LbStateSet(self.set_balancer(peer, balancer, health, flags, changes))
+            Body::SetLbState { balancer, flags, .. } => {
+                Body::LbStateSet(self.set_balancer(peer, balancer, flags, changes))
             }
             Body::SetMemberState { from_balancer, groups } => {
                 Body::MemberStateSet(self.set_members(peer, from_balancer, groups, changes))
@@ -205,12 +204,17 @@
 
     /// May it speak for each of these? A member speaks for itself and for nobody else.
     fn may_each<'a>(
-        &self,
+        &mut self,
         peer: Peer,
         from_balancer: bool,
         group: &Group,
         mut members: impl Iterator<Item = &'a Member>,
+        changes: &mut Vec<Change>,
     ) -> ReturnCode {
+        let may = self.may(peer, from_balancer, group, changes);
+        if may != ReturnCode::Successful {
+            return may;
+        }
         let Some(known) = self.groups.get(group) else { return ReturnCode::InvalidGroup };
         let refused = members.find_map(|member| match known.get(member) {
             None => Some(ReturnCode::NotRegistered),
@@ -276,11 +280,7 @@
         changes: &mut Vec<Change>,
     ) -> ReturnCode {
         for (group, members) in &groups {
-            let may = self.may(peer, from_balancer, group, changes);
-            if may != ReturnCode::Successful {
-                return may;
-            }
-            let may = self.may_each(peer, from_balancer, group, members.iter());
+            let may = self.may_each(peer, from_balancer, group, members.iter(), changes);
             if may != ReturnCode::Successful {
                 return may;
             }
@@ -306,13 +306,12 @@
         &mut self,
         peer: Peer,
         uid: Vec<u8>,
-        health: u8,
         flags: LbFlags,
         changes: &mut Vec<Change>,
     ) -> ReturnCode {
         let code = self.claim(peer, &uid, changes);
         if let (ReturnCode::Successful, Some(speaker)) = (code, self.speakers.get_mut(&peer)) {
-            (speaker.health, speaker.flags) = (health, flags);
+            speaker.flags = flags;
         }
         code
     }
@@ -325,11 +324,8 @@
         changes: &mut Vec<Change>,
     ) -> ReturnCode {
         for (group, states) in &groups {
-            let may = self.may(peer, from_balancer, group, changes);
-            if may != ReturnCode::Successful {
-                return may;
-            }
-            let may = self.may_each(peer, from_balancer, group, states.iter().map(|state| &state.member));
+            let members = states.iter().map(|state| &state.member);
+            let may = self.may_each(peer, from_balancer, group, members, changes);
             if may != ReturnCode::Successful {
                 return may;
             }
--- a/crates/standins/src/forwarders.rs
+++ b/crates/standins/src/forwarders.rs
@@ -1,7 +1,7 @@
 //! Forwarders: obey the published tables, avoid after failures, keep tables when the stream breaks, and report.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 
 use anyhow::Result;
 use oorandom::Rand64;
@@ -183,14 +183,6 @@
     }
 }
 
-fn member(address: SocketAddr) -> Member {
-    let ip = match address.ip() {
-        IpAddr::V4(ip) => ip.to_ipv6_mapped(),
-        IpAddr::V6(ip) => ip,
-    };
-    Member { protocol: 6, port: address.port(), address: ip, label: Vec::new() }
-}
-
 impl Forwarder {
     fn lines(&self, operation: usize) -> impl Iterator<Item = &Line> {
         self.tables[operation].lines.iter().filter(|line| !self.shunned.contains(&line.address))
@@ -333,7 +325,8 @@
         self.links.insert(conn, id);
         let balancer = format!("balancer-{id}").into_bytes();
         let flags = LbFlags { push: true, trust: false, no_change: true };
-        let members: Vec<Member> = self.plan.servers.iter().map(|server| member(server.address)).collect();
+        let members: Vec<Member> =
+            self.plan.servers.iter().map(|server| Member::tcp(server.address)).collect();
         let group = |operation: &crate::OperationPlan| {
             let group = Group { balancer: balancer.clone(), name: operation.name.clone().into_bytes() };
             (group, members.clone())
@@ -387,7 +380,7 @@
             }
             changed = changed.max(entries.len());
             for entry in entries {
-                let address = SocketAddr::new(entry.member.address.to_canonical(), entry.member.port);
+                let address = entry.member.socket();
                 table.told.insert(address, (entry.weight.into(), Health::Ready));
                 let weight = if entry.quiesce { 0.0 } else { f64::from(entry.weight) };
                 let old = table.lines.iter_mut().find(|line| line.address == address);
@@ -937,14 +930,14 @@
                 Odd::Asks => {
                     let flags = LbFlags { push: false, trust: true, no_change: false };
                     let state = Body::SetLbState { balancer: b"odd".to_vec(), health: 0, flags };
-                    vec![state, own(vec![member(address(1))])]
+                    vec![state, own(vec![Member::tcp(address(1))])]
                 }
                 Odd::ReadsNothing => {
                     let flags = LbFlags { push: true, trust: false, no_change: false };
                     let balancer = b"odd-large".to_vec();
                     let groups = vec![(
                         Self::odd_group("odd-large", &operation),
-                        (0..10_000).map(|at| member(address(at))).collect(),
+                        (0..10_000).map(|at| Member::tcp(address(at))).collect(),
                     )];
                     vec![
                         Body::SetLbState { balancer, health: 0, flags },
@@ -952,7 +945,7 @@
                     ]
                 }
                 Odd::Flaps => {
-                    let groups = vec![(Self::odd_group("odd", &operation), vec![member(address(2))])];
+                    let groups = vec![(Self::odd_group("odd", &operation), vec![Member::tcp(address(2))])];
                     vec![Body::Register { from_balancer: false, groups }]
                 }
                 Odd::Dies | Odd::TakesAway => Vec::new(),
@@ -985,7 +978,8 @@
                 }
                 Odd::Flaps => {
                     let (state, contact, quiesce) = (0, true, time.is_multiple_of(2));
-                    let states = vec![MemberState { state, contact, quiesce, member: member(address(2)) }];
+                    let states =
+                        vec![MemberState { state, contact, quiesce, member: Member::tcp(address(2)) }];
                     let groups = vec![(Self::odd_group("odd", &operation), states)];
                     Body::SetMemberState { from_balancer: false, groups }
                 }
--- a/crates/supervisor/src/advice.rs
+++ b/crates/supervisor/src/advice.rs
@@ -3,19 +3,16 @@
 //! Free of I/O and clock.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
-use shalereel::interface::{Nanos, StartupFacts, TableId};
+use shalereel::interface::{Nanos, TableId};
 use shalereel_sasp::weights::Figure;
 use shalereel_sasp::{Advisor, Answer, Body, Bounds, Change, Frames, Group, Member, ReturnCode};
 
 use crate::core::Peer;
+use crate::patience::MESSAGE;
 use crate::roster::{MemberWord, Roster};
 use crate::tables::Tables;
 
-/// Bytes of one message: a registration of ten thousand members with long labels fits.
-const MESSAGE: usize = 4 << 20;
-
 /// What the tables hold for a joined balancer.
 pub struct View<'a> {
     pub tables: &'a Tables,
@@ -31,17 +28,12 @@
     fn figure(&self, group: &Group, member: &Member) -> Option<Figure> {
         let at = self.operations.iter().position(|name| name.as_bytes() == group.name)? as u16;
         let table = *self.bound.get(&at)?;
-        let server = self.roster.server_at(address(member))?;
+        let server = self.roster.server_at(member.socket())?;
         let weight = self.tables.weight(table, server);
         Some(Figure { weight, cold: self.roster.started_within(server, self.now, self.cold_for) })
     }
 }
 
-/// Where a member is.
-pub fn address(member: &Member) -> SocketAddr {
-    SocketAddr::new(member.address.to_canonical(), member.port)
-}
-
 /// What came of a peer's bytes.
 #[derive(Debug, PartialEq)]
 pub enum Outcome {
@@ -60,15 +52,13 @@
 #[derive(Debug)]
 pub struct Advice {
     advisor: Advisor,
+    interval: u16,
     frames: BTreeMap<Peer, Frames>,
 }
 
 impl Advice {
-    pub fn new(facts: &StartupFacts) -> Self {
-        // A balancer that asks is due once a report cycle, and is borne with at some times that.
-        let cycle_s = facts.report_cycle.div_ceil(1_000_000_000).clamp(1, 3600) as u16;
-        let bounds = Bounds { members: 20_000, groups: 256, asks: 16, interval: cycle_s };
-        Advice { advisor: Advisor::new(bounds), frames: BTreeMap::new() }
+    pub fn new(bounds: Bounds) -> Self {
+        Advice { advisor: Advisor::new(bounds), interval: bounds.interval, frames: BTreeMap::new() }
     }
 
     pub fn opened(&mut self, peer: Peer) {
@@ -102,7 +92,8 @@
             let asks = matches!(message.body, Body::GetWeights { .. });
             // On no table yet, it has nothing to go by: weights of 0 would empty it.
             if asks && view.bound.is_empty() {
-                let body = Body::Weights { code: ReturnCode::TryLater, interval: 1, groups: Vec::new() };
+                let body =
+                    Body::Weights { code: ReturnCode::TryLater, interval: self.interval, groups: Vec::new() };
                 let reply = shalereel_sasp::Message { id: message.id, body };
                 outcomes.push(Outcome::Write(reply.encode().to_vec()));
                 continue;
@@ -152,7 +143,7 @@
         Change::Member { member, there, quiesce, .. } => {
             let itself = !advisor.speaks_for_balancer(peer);
             let zone = String::from_utf8_lossy(&member.label).into_owned();
-            Some(Outcome::Member(MemberWord { address: address(&member), zone, itself, there, quiesce }))
+            Some(Outcome::Member(MemberWord { address: member.socket(), zone, itself, there, quiesce }))
         }
     }
 }
--- a/crates/supervisor/src/channel.rs
+++ b/crates/supervisor/src/channel.rs
@@ -91,48 +91,6 @@
     }
 }
 
-/// What to do with a proxy that turns messages down or does not answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// Say it again, at this time.
-    Again(Nanos),
-    /// End its stream, so that it joins anew.
-    Part,
-}
-
-/// Patience with proxies, in ratios to the told times of the channel.
-#[derive(Clone, Copy, Debug)]
-pub struct Patience {
-    round: Nanos,
-    drained: Nanos,
-}
-
-/// So many messages turned down in a row end the stream.
-const TURNED_DOWN: u32 = 3;
-/// A message not answered in so many times a round and the emptying of a full channel ends the stream.
-const UNANSWERED: Nanos = 4;
-
-impl Patience {
-    pub fn new(facts: &StartupFacts) -> Self {
-        let drained = (facts.backlog / facts.lines_per_s * 1e9) as Nanos;
-        Patience { round: 2 * facts.worst_transit + facts.report_cycle, drained }
-    }
-
-    /// A proxy has turned down its `count`th message in a row. Said again at once, the same would come back
-    /// at once: each time waits a round longer.
-    pub fn turned_down(&self, now: Nanos, count: u32) -> Verdict {
-        if count >= TURNED_DOWN {
-            return Verdict::Part;
-        }
-        Verdict::Again(now + Nanos::from(count) * self.round)
-    }
-
-    /// Until when a message must be answered.
-    pub fn answer_by(&self, said: Nanos) -> Nanos {
-        said + UNANSWERED * (self.round + self.drained)
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -164,13 +122,4 @@
         assert_eq!(channel.depart(60_000_000).unwrap().proxy, 3);
         assert_eq!((channel.waiting(), channel.next()), (0.0, None));
     }
-
-    #[test]
-    fn patience_ends_after_three_refusals() {
-        let patience = Patience { round: 100, drained: 50 };
-        assert_eq!(patience.turned_down(1000, 1), Verdict::Again(1100));
-        assert_eq!(patience.turned_down(1000, 2), Verdict::Again(1200));
-        assert_eq!(patience.turned_down(1000, 3), Verdict::Part);
-        assert_eq!(patience.answer_by(1000), 1600);
-    }
 }
--- a/crates/supervisor/src/core.rs
+++ b/crates/supervisor/src/core.rs
@@ -15,8 +15,9 @@
 };
 
 use crate::advice::{Advice, Outcome, View};
-use crate::channel::{Channel, Departure, Patience, Verdict};
+use crate::channel::{Channel, Departure};
 use crate::deployment::{Deployment, Planted};
+use crate::patience::{Patience, Verdict};
 use crate::reports::Reports;
 use crate::roster::Roster;
 use crate::tables::{Reach, Tables};
@@ -136,7 +137,6 @@
 struct Proxy {
     peer: Peer,
     front: Front,
-    locality: u16,
     tables: BTreeMap<u16, TableId>,
     /// What left the channel and is not written yet: when it was ordered, and its marks.
     due: Option<(Nanos, Vec<(u16, Nanos)>)>,
@@ -193,7 +193,7 @@
             patience: Patience::new(facts),
             roster: Roster::new(&deployment.localities),
             reports: Reports::default(),
-            advice: Advice::new(facts),
+            advice: Advice::new(Patience::new(facts).balancer()),
             streams: BTreeMap::new(),
             loads: BTreeMap::new(),
             proxies: BTreeMap::new(),
@@ -307,7 +307,6 @@
         let member = Proxy {
             peer,
             front,
-            locality,
             tables: BTreeMap::new(),
             due: None,
             said: VecDeque::new(),
@@ -494,6 +493,9 @@
         if now >= self.reported + self.deployment.facts.report_cycle {
             self.reported = now;
             self.events.extend(self.reports.take());
+            let strangers = std::mem::take(&mut self.reports.strangers);
+            let word = || Effect::Odd(format!("{strangers} rows of load name servers that no list ever had"));
+            self.effects.extend((strangers > 0).then(word));
             self.part_with_silent(now);
             self.advice.tick();
         }
@@ -833,14 +835,4 @@
             self.effects.push(Effect::End { peer, status: Status::new(Code::DeadlineExceeded, text) });
         }
     }
-
-    /// Localities of the joined proxies, for the log.
-    pub fn localities(&self) -> BTreeMap<&str, usize> {
-        let mut count = BTreeMap::new();
-        for proxy in self.proxies.values() {
-            let name = self.deployment.localities.get(usize::from(proxy.locality));
-            *count.entry(name.map_or("", String::as_str)).or_default() += 1;
-        }
-        count
-    }
 }
--- a/crates/supervisor/src/daemon.rs
+++ b/crates/supervisor/src/daemon.rs
@@ -9,20 +9,15 @@
 use prost::Message;
 use shalereel::interface::{Nanos, ProbeEnding, ServerId};
 use shalereel_reactor::now;
-use shalereel_rpc::{Bounds, Code, ConnId, Hub, Input, Status, StreamId};
+use shalereel_rpc::{Code, ConnId, Hub, Input, Status, StreamId};
 use shalereel_xds::{
     types, Assignment, NodeFacts, Subscribing, Variant, ADS, DELTA_ADS, DELTA_EDS, EDS, HEALTH, LRS,
 };
 
-use crate::channel::Patience;
 use crate::core::{Core, Effect, Peer};
 use crate::deployment::Deployment;
+use crate::patience::Patience;
 
-/// What one connection may cost: a report of thousands of servers fits, a flood does not.
-fn bounds(deployment: &Deployment) -> Bounds {
-    let silence = Patience::new(&deployment.facts).answer_by(0);
-    Bounds { message: 4 << 20, calls: 64, unread: 8 << 20, silence }
-}
 /// Resource name of the whole fleet at the registry.
 pub const FLEET: &str = "fleet";
 /// File of the kept list, in the deployment's folder.
@@ -58,6 +53,7 @@
     hub: Hub<Front, Key>,
     core: Core,
     deployment: Deployment,
+    patience: Patience,
     calls: BTreeMap<(ConnId, StreamId), Call>,
     peers: BTreeMap<Peer, (ConnId, StreamId)>,
     last_peer: Peer,
@@ -88,7 +84,8 @@
             None
         }
     };
-    let mut hub = Hub::new(bounds(&deployment))?;
+    let patience = Patience::new(&deployment.facts);
+    let mut hub = Hub::new(patience.connection())?;
     hub.stop_on_signals()?;
     let (_, address) = hub
         .listen(deployment.listen, Front::Calls)
@@ -111,6 +108,7 @@
     let mut daemon = Daemon {
         core: Core::new(deployment.clone(), now(), list.as_deref()),
         hub,
+        patience,
         calls: BTreeMap::new(),
         peers: BTreeMap::new(),
         last_peer: 0,
@@ -301,7 +299,7 @@
             Effect::Remember => {
                 // Off the publishing path: what follows from the list leaves first.
                 if !std::mem::replace(&mut self.to_keep, true) {
-                    self.hub.set(now() + self.deployment.facts.report_cycle / 4, Key::Keep);
+                    self.hub.set(self.patience.keep_by(now()), Key::Keep);
                 }
             }
         }
@@ -333,7 +331,7 @@
         tracing::warn!(why, "the registry's stream is lost");
         self.core.list_failed();
         if !self.deployment.facts.membership_on_request {
-            self.hub.set(now() + self.deployment.facts.report_cycle, Key::Dial);
+            self.hub.set(self.patience.list_again(now()), Key::Dial);
         }
     }
 
@@ -381,7 +379,7 @@
         };
         self.calls.insert((conn, stream), Call::Probe(server));
         self.probes.insert(conn, (server, now()));
-        self.hub.set(now() + self.deployment.facts.report_cycle, Key::ProbeLate(conn));
+        self.hub.set(self.patience.probed_by(now()), Key::ProbeLate(conn));
     }
 
     fn probe_over(&mut self, conn: ConnId, server: ServerId, ending: ProbeEnding) {
--- a/crates/supervisor/src/lib.rs
+++ b/crates/supervisor/src/lib.rs
@@ -5,14 +5,16 @@
 mod core;
 pub mod daemon;
 mod deployment;
+mod patience;
 mod reports;
 mod roster;
 mod tables;
 
 pub use crate::core::{Core, Effect, Peer, LISTENER, PREFIX};
-pub use channel::{Channel, Departure, Patience, Verdict};
+pub use channel::{Channel, Departure};
 pub use daemon::run;
 pub use deployment::{Deployment, FileError, Planted};
+pub use patience::{Patience, Verdict};
 pub use reports::Reports;
 pub use roster::{MemberWord, Roster};
 pub use tables::{Reach, Tables};
