--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 
 mod daemon_command;
 mod drill_command;
+mod group_command;
 mod measure_command;
 
 #[derive(Parser)]
@@ -41,11 +42,34 @@
     /// Measure what publishing and reports cost a supervisor.
     #[command(subcommand)]
     Measure(Measure),
+    /// Who is in a group, as one of its supervisors sees it.
+    Members {
+        /// A supervisor's address.
+        at: std::net::SocketAddr,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Who holds which duty, who owns which key range, and which orders stand.
+    Duties {
+        /// A supervisor's address.
+        at: std::net::SocketAddr,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Give a group an order, at any of its supervisors. Exit 2: refused, and why.
+    Order {
+        /// A supervisor's address.
+        at: std::net::SocketAddr,
+        #[command(subcommand)]
+        order: group_command::OrderCommand,
+    },
+    /// Play groups on a simulated network and check what must always hold. Exit 1: a schedule broke it.
+    Rehearse(group_command::RehearseArguments),
     /// Run a supervisor; the same as `shalereeld`.
     Daemon(daemon_command::DaemonArguments),
     /// Play one stand-in, told by lines of JSON on the input.
     StandIn {
-        /// servers, forwarders, callers or registry
+        /// servers, forwarders, callers, registry or links
         role: String,
     },
 }
@@ -97,6 +121,16 @@
             };
             result.map_or_else(failed, |()| ExitCode::SUCCESS)
         }
+        Command::Members { at, json } => {
+            group_command::members(at, json).map_or_else(failed, |()| ExitCode::SUCCESS)
+        }
+        Command::Duties { at, json } => {
+            group_command::duties(at, json).map_or_else(failed, |()| ExitCode::SUCCESS)
+        }
+        Command::Order { at, order } => {
+            group_command::order(at, &order).map_or_else(failed, |()| ExitCode::SUCCESS)
+        }
+        Command::Rehearse(arguments) => group_command::rehearse(&arguments),
         Command::Daemon(arguments) => daemon_command::daemon(&arguments).unwrap_or_else(failed),
         Command::StandIn { role } => match shalereel_standins::run(&role) {
             Ok(()) => ExitCode::SUCCESS,
--- a/crates/drill/src/day.rs
+++ b/crates/drill/src/day.rs
@@ -22,6 +22,9 @@
     pub demand: Demand,
     pub forwarders: Forwarders,
     pub supervisors: Supervisors,
+    /// The supervisors are a group; each acts alone unless given.
+    #[serde(default)]
+    pub shared: Option<Shared>,
     pub rules: Rules,
     pub expect: Expect,
     #[serde(rename = "trouble", default)]
@@ -117,6 +120,20 @@
     pub messages_over_ms: f64,
 }
 
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Shared {
+    pub election_ms: f64,
+    pub drift: f64,
+    #[serde(default)]
+    pub ranges: u32,
+    pub tenure_ms: f64,
+    pub in_flight_ms: f64,
+    /// The operation that goes by key ranges, by name.
+    #[serde(default)]
+    pub keyed: String,
+}
+
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Rules {
@@ -169,6 +186,11 @@
     OddBalancers,
     SupervisorCrash,
     SupervisorStall,
+    SupervisorPause,
+    LinksCut,
+    LinksOneWay,
+    LinksFlap,
+    Order,
     SlowChannel,
     Surge,
 }
@@ -207,6 +229,7 @@
     SupervisorColdInFull,
     SupervisorFloods,
     SupervisorEmptiesTables,
+    NoFence,
 }
 
 impl Planted {
@@ -218,6 +241,7 @@
             Planted::SupervisorColdInFull => "cold_in_full",
             Planted::SupervisorFloods => "flood",
             Planted::SupervisorEmptiesTables => "empty_tables",
+            Planted::NoFence => "no_fence",
             Planted::ForwarderIgnoresDrains | Planted::ServerRepeatsEffects => return None,
         })
     }
@@ -264,6 +288,17 @@
                 "name at least one each",
             );
         }
+        if let Some(shared) = day.shared.as_ref().filter(|shared| !shared.keyed.is_empty()) {
+            if day.keyed().is_none() || shared.ranges == 0 {
+                let problem = format!("{:?} by {} ranges", shared.keyed, shared.ranges);
+                return refuse(
+                    line_of("keyed"),
+                    "shared.keyed",
+                    problem,
+                    "name an operation, and ranges above 0",
+                );
+            }
+        }
         for name in day.expect.operations.keys() {
             if !day.operations.iter().any(|operation| operation.name == *name) {
                 return refuse(line_of(name), name, "no such operation".into(), "name one that the file has");
@@ -292,6 +327,12 @@
         Ok(day)
     }
 
+    /// Position of the operation that goes by key ranges.
+    pub fn keyed(&self) -> Option<usize> {
+        let shared = self.shared.as_ref()?;
+        self.operations.iter().position(|operation| operation.name == shared.keyed)
+    }
+
     pub fn kind_plans(&self) -> Vec<KindPlan> {
         let plan = |kind: &Kind| KindPlan {
             cores: kind.cores,
@@ -324,7 +365,14 @@
     }
 
     /// A supervisor's own file for this day.
-    pub fn deployment(&self, number: u16, listen: [&str; 2], registry: &str, folder: &str) -> String {
+    pub fn deployment(
+        &self,
+        number: u16,
+        listen: [&str; 2],
+        registry: &str,
+        folder: &str,
+        members: &[String],
+    ) -> String {
         let [listen, sasp] = listen;
         let (fleet, forwarders, supervisors, rules) =
             (&self.fleet, &self.forwarders, &self.supervisors, &self.rules);
@@ -394,6 +442,13 @@
                 operation.billed_value,
             );
         }
+        if let Some(shared) = &self.shared {
+            text += &format!(
+                "\n[shared]\nname = \"drill\"\nmembers = {members:?}\nelection_ms = {:?}\ndrift = {:?}\nranges = {}\n\
+                 tenure_ms = {:?}\nin_flight_ms = {:?}\n",
+                shared.election_ms, shared.drift, shared.ranges, shared.tenure_ms, shared.in_flight_ms,
+            );
+        }
         if self.forwarders.balancers > 0 {
             text += &format!("\n[sasp]\nlisten = {sasp:?}\n");
         }
--- a/crates/drill/src/judge.rs
+++ b/crates/drill/src/judge.rs
@@ -18,6 +18,8 @@
     DrainsKept,
     NoColdServerPushedOver,
     ShortQueue,
+    /// Of a group: no forwarder goes back to an earlier epoch, no range has two owners.
+    Fenced,
 }
 
 /// One time that a rule was broken, with the invocations that prove it.
@@ -436,6 +438,58 @@
     }
 }
 
+impl Scene<'_> {
+    /// Epochs only rise at each forwarder, and writes of a range never go back to a former owner.
+    fn fenced(&self, seen: &[Seen]) -> Measure {
+        let mut breaches = Vec::new();
+        let mut told: BTreeMap<u32, Vec<(Nanos, u64)>> = BTreeMap::new();
+        let mut writes: BTreeMap<u32, Vec<(Nanos, u64, u32, u64)>> = BTreeMap::new();
+        for one in seen {
+            match one {
+                Seen::Told { at, forwarder, epoch, .. } => {
+                    told.entry(*forwarder).or_default().push((*at, *epoch))
+                }
+                // What comes back knows nothing any more.
+                Seen::Died { at, forwarder } => told.entry(*forwarder).or_default().push((*at, u64::MAX)),
+                Seen::Effect { at, server, inv, range, epoch, .. } if *epoch > 0 => {
+                    writes.entry(*range).or_default().push((*at, *epoch, *server, *inv));
+                }
+                _ => {}
+            }
+        }
+        for (forwarder, mut told) in told {
+            told.sort_by_key(|one| one.0);
+            let mut highest = 0;
+            for (at, epoch) in told {
+                if epoch == u64::MAX {
+                    highest = 0;
+                } else if epoch < highest {
+                    let what = format!("forwarder {forwarder} went back from epoch {highest} to {epoch}");
+                    breaches.push(Breach { at_s: self.seconds(at), what, invocations: Vec::new() });
+                } else {
+                    highest = epoch;
+                }
+            }
+        }
+        for (range, mut writes) in writes {
+            writes.sort_by_key(|one| one.0);
+            let (mut epoch, mut owner) = (0, 0);
+            for (at, of, server, inv) in writes {
+                if of < epoch || (of == epoch && server != owner) {
+                    let what = format!(
+                        "range {range}: server {server} (epoch {of}) took a write after {owner} ({epoch})"
+                    );
+                    breaches.push(Breach { at_s: self.seconds(at), what, invocations: vec![inv] });
+                } else {
+                    (epoch, owner) = (of, server);
+                }
+            }
+        }
+        let nearest = if breaches.is_empty() { 0.0 } else { 2.0 };
+        Measure { rule: Rule::Fenced, limit: "no way back".into(), nearest, breaches }
+    }
+}
+
 /// Judges a day that was played from `span.0` to `span.1` by what was seen of it.
 pub fn judge(day: &Day, span: (Nanos, Nanos), seen: &[Seen]) -> Verdict {
     let scene = Scene::new(day, span, seen);
@@ -445,6 +499,7 @@
         scene.drains_kept(seen),
         scene.no_cold_server_pushed_over(seen),
         scene.short_queue(seen),
+        scene.fenced(seen),
     ];
     let width = 5.0;
     let mut by_operation = vec![(0.0, 0.0); day.operations.len()];
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -1,6 +1,7 @@
 //! A day from a script on real sockets and real processes, judged by its traffic alone.
 
 mod bench;
+mod control;
 mod day;
 mod judge;
 mod play;
@@ -8,6 +9,7 @@
 mod stage;
 
 pub use bench::from_bench;
+pub use control::{order_at, release, standing};
 pub use day::{Day, Trouble};
 pub use judge::{judge, Breach, Measure, Rule, Verdict, Window};
 pub use play::play;
--- a/crates/drill/src/play.rs
+++ b/crates/drill/src/play.rs
@@ -7,9 +7,11 @@
 use anyhow::Result;
 use oorandom::Rand64;
 use shalereel::interface::Nanos;
+use shalereel_group::wire::{Act, Order};
 use shalereel_reactor::{now, SECOND};
 use shalereel_standins::{read_trace, Command, ListedAs, Seen};
 
+use crate::control::{order_at, release};
 use crate::day::{nanos, Day, Trouble, TroubleKind};
 use crate::judge::{judge, Verdict};
 use crate::stage::{Stage, Staged};
@@ -25,6 +27,13 @@
     StartSupervisor(usize),
     StallSupervisor(usize, bool),
     Revive(Vec<u32>),
+    /// An operator's order about a server, or its end, at a supervisor.
+    Order {
+        number: usize,
+        server: u32,
+        hold: Option<u32>,
+        off: bool,
+    },
 }
 
 struct Script<'a> {
@@ -246,6 +255,46 @@
                 let command = |on| Command::OddBalancers { on };
                 both(self, Staged::Forwarders, command(true), command(false));
             }
+            LinksCut | LinksOneWay | LinksFlap => {
+                let all: Vec<u32> = (0..u32::from(self.day.supervisors.count)).collect();
+                let chosen = self.drawn(trouble, all.clone());
+                let mut pairs = Vec::new();
+                for &one in &chosen {
+                    for &other in all.iter().filter(|other| !chosen.contains(other)) {
+                        pairs.push((one, other));
+                        // One way: it hears all, and nobody hears it.
+                        if trouble.kind != LinksOneWay {
+                            pairs.push((other, one));
+                        }
+                    }
+                }
+                let off = Command::CutLinks { pairs: Vec::new() };
+                let mut time = from;
+                while trouble.kind == LinksFlap && time + 2.0 < to {
+                    self.tell(time, Staged::Links, Command::CutLinks { pairs: pairs.clone() });
+                    self.tell(time + 0.8, Staged::Links, off.clone());
+                    time += 1.6;
+                }
+                self.tell(time, Staged::Links, Command::CutLinks { pairs });
+                self.tell(to, Staged::Links, off);
+            }
+            SupervisorPause => {
+                let all = (0..u32::from(self.day.supervisors.count)).collect();
+                for number in self.drawn(trouble, all) {
+                    self.put(from, Action::StallSupervisor(number as usize, true));
+                    self.put(to, Action::StallSupervisor(number as usize, false));
+                }
+            }
+            Order => {
+                // Said to one supervisor, withdrawn at another one.
+                let servers = self.servers(trouble);
+                let number = self.chance.rand_range(0..u64::from(self.day.supervisors.count)) as usize;
+                for server in servers {
+                    let hold = (trouble.factor > 0.0).then_some((trouble.factor.min(1.0) * 1e6) as u32);
+                    self.put(from, Action::Order { number, server, hold, off: false });
+                    self.put(to, Action::Order { number: number + 1, server, hold, off: true });
+                }
+            }
             SupervisorCrash | SupervisorStall => {
                 let all = (0..u32::from(self.day.supervisors.count)).collect();
                 for number in self.drawn(trouble, all) {
@@ -294,6 +343,18 @@
         Action::KillSupervisor(number) => stage.kill_supervisor(number),
         Action::StartSupervisor(number) => stage.revive_supervisor(number)?,
         Action::StallSupervisor(number, on) => stage.stall_supervisor(number, on),
+        Action::Order { number, server, hold, off } => {
+            let at = stage.address(number % stage.supervisors());
+            let locality = stage.locality(server);
+            // Refused or not, it is for the judge to see what became of it.
+            std::thread::spawn(move || {
+                let order = Order { server, locality, hold };
+                let told = if off { release(at, &order) } else { order_at(at, Act::Order(order)) };
+                if let Err(error) = told {
+                    eprintln!("an order at {at}: {error:#}");
+                }
+            });
+        }
         Action::Revive(forwarders) => {
             let listed = stage.list.values().filter(|row| row.state == ListedAs::Ready);
             let standing = listed.map(|row| row.server).collect();
--- a/crates/drill/src/report.rs
+++ b/crates/drill/src/report.rs
@@ -9,6 +9,7 @@
         Rule::DrainsKept => "drains kept",
         Rule::NoColdServerPushedOver => "no cold server pushed over",
         Rule::ShortQueue => "a short queue",
+        Rule::Fenced => "no way back to an earlier epoch or owner",
     }
 }
 
--- a/crates/drill/src/stage.rs
+++ b/crates/drill/src/stage.rs
@@ -11,8 +11,8 @@
 use oorandom::Rand64;
 use serde::Serialize;
 use shalereel_standins::{
-    CallersPlan, Command, ForwarderPlan, ForwardersPlan, Listed, ListedAs, Ready, RegistryPlan, ServerPlan,
-    ServersPlan,
+    CallersPlan, Command, ForwarderPlan, ForwardersPlan, LinksPlan, Listed, ListedAs, Ready, RegistryPlan,
+    ServerPlan, ServersPlan,
 };
 
 use crate::day::{nanos, Day, Planted};
@@ -80,6 +80,7 @@
     Forwarders,
     Callers,
     Registry,
+    Links,
 }
 
 /// A whole deployment as processes of this machine.
@@ -90,6 +91,8 @@
     actors: BTreeMap<Staged, Actor>,
     /// Each with its address on either front.
     supervisors: Vec<(Option<Actor>, [SocketAddr; 2])>,
+    /// Doors between supervisors, by from whom and to whom.
+    doors: Vec<SocketAddr>,
     /// Troubles that keep a supervisor down; it comes back with the end of the last one.
     down: Vec<u32>,
     registry: SocketAddr,
@@ -108,6 +111,7 @@
             day: day.clone(),
             actors: BTreeMap::new(),
             supervisors: Vec::new(),
+            doors: Vec::new(),
             down: vec![0; day.supervisors.count.into()],
             registry: SocketAddr::from(([127, 0, 0, 1], 0)),
             list: BTreeMap::new(),
@@ -153,6 +157,10 @@
             },
         )?;
         stage.registry = told.addresses[0];
+        if day.shared.is_some() {
+            let members = day.supervisors.count.into();
+            stage.doors = stage.cast(Staged::Links, &LinksPlan { members })?.addresses;
+        }
         for number in 0..day.supervisors.count {
             let on = |net| SocketAddr::from(([127, 0, net, number as u8 + 1], 0));
             stage.supervisors.push((None, [on(3), on(4)]));
@@ -175,6 +183,8 @@
                 avoid_for: nanos(day.forwarders.avoid_s * 1e3),
                 first_wait: day.forwarders.first_wait,
                 redial: (nanos(day.forwarders.redial_ms.0), nanos(day.forwarders.redial_ms.1)),
+                keyed: day.keyed(),
+                unfenced: day.planted == Some(Planted::NoFence),
                 ignore_drains: day.planted == Some(Planted::ForwarderIgnoresDrains),
                 forwarders: forwarders.clone(),
             },
@@ -281,11 +291,17 @@
         let state = self.folder.join(&name);
         let file = self.folder.join(format!("{name}.toml"));
         let [listen, sasp] = self.supervisors[number].1.map(|address| address.to_string());
+        // Each reaches the others through doors of its own, and names itself by where it listens.
+        let count = self.supervisors.len().max(usize::from(self.day.supervisors.count));
+        let doors = self.doors.iter().skip(number * count).take(count).enumerate();
+        let members: Vec<String> =
+            doors.map(|(at, door)| if at == number { listen.clone() } else { door.to_string() }).collect();
         let text = self.day.deployment(
             number as u16,
             [&listen, &sasp],
             &self.registry.to_string(),
             &state.to_string_lossy(),
+            &members,
         );
         fs::write(&file, text)?;
         let mut actor =
@@ -294,6 +310,10 @@
         let held = &mut self.supervisors[number];
         held.0 = Some(actor);
         held.1.iter_mut().zip(ready.addresses).for_each(|(old, address)| *old = address);
+        let address = held.1[0];
+        if self.day.shared.is_some() {
+            self.tell(Staged::Links, &Command::Member { member: number as u32, address })?;
+        }
         Ok(())
     }
 
@@ -306,6 +326,17 @@
         self.start_supervisor(number)
     }
 
+    /// Position of a server's locality.
+    pub fn locality(&self, server: u32) -> u32 {
+        let zone = self.list.get(&server).map(|row| row.zone.as_str());
+        self.day.localities.iter().position(|name| Some(name.as_str()) == zone).unwrap_or(0) as u32
+    }
+
+    /// Where a supervisor serves.
+    pub fn address(&self, number: usize) -> SocketAddr {
+        self.supervisors[number].1[0]
+    }
+
     pub fn supervisors(&self) -> usize {
         self.supervisors.len()
     }
@@ -342,8 +373,10 @@
                 actor.end();
             }
         }
-        if let Some(mut actor) = self.actors.remove(&Staged::Registry) {
-            actor.end();
+        for who in [Staged::Registry, Staged::Links] {
+            if let Some(mut actor) = self.actors.remove(&who) {
+                actor.end();
+            }
         }
         Ok(())
     }
--- a/crates/group/src/group.rs
+++ b/crates/group/src/group.rs
@@ -209,6 +209,16 @@
         self.lease.holds(now, self.applied) || self.charter.planted == Some(Planted::NoFence)
     }
 
+    /// The highest epoch of any operation's table: what all that is published carries at least.
+    pub fn fence(&self) -> Epoch {
+        let tables = self.duties.duties().iter().filter(|(duty, _)| matches!(duty, Duty::Table(_)));
+        tables.map(|(_, held)| held.epoch).max().unwrap_or(0)
+    }
+
+    pub fn tenure(&self) -> Nanos {
+        self.pace.tenure()
+    }
+
     /// The epoch that the table of an operation carries; 0 before anything was agreed.
     pub fn table_epoch(&self, operation: u32) -> Epoch {
         self.duties.held(Duty::Table(operation)).map_or(0, |held| held.epoch)
@@ -423,9 +433,14 @@
 
     fn send(&mut self, to: Node, body: Body) {
         let seats = self.raft.seats();
-        let seat = seats.voters.iter().chain(&seats.learners).find(|seat| seat.number == to);
-        let address = self.members.address(to).or(seat.map(|seat| seat.address.as_str()));
-        if let Some(address) = address.map(str::to_owned) {
+        let known =
+            |seats: &[Seat]| seats.iter().find(|seat| seat.number == to).map(|seat| seat.address.clone());
+        // What this one's own file says is nearest to how it reaches others.
+        let address = known(&self.charter.seats)
+            .or_else(|| self.members.address(to).map(str::to_owned))
+            .or_else(|| known(&seats.voters))
+            .or_else(|| known(&seats.learners));
+        if let Some(address) = address {
             let envelope = Envelope { from: self.charter.me, to, group: self.hash, body: Some(body) };
             self.effects.push(Effect::Send { to, address, envelope });
         }
--- a/crates/group/src/sim.rs
+++ b/crates/group/src/sim.rs
@@ -15,7 +15,7 @@
 use crate::pace::Told;
 use crate::records::{encode, Recovered, HEAD};
 use crate::tenant::Tenant;
-use crate::wire::{Act, Duty, Envelope, Epoch, Move, Node, Order, Release, Seat, SeatChange};
+use crate::wire::{Act, Duty, Envelope, Epoch, Move, Node, Order, Release, Seat};
 use crate::Planted;
 
 const MILLI: Nanos = 1_000_000;
@@ -79,6 +79,20 @@
     pub headless: Nanos,
 }
 
+impl Tally {
+    /// Another schedule's.
+    pub fn add(&mut self, other: &Tally) {
+        self.steps += other.steps;
+        self.elections += other.elections;
+        self.committed += other.committed;
+        self.crashes += other.crashes;
+        self.moves += other.moves;
+        self.writes += other.writes;
+        self.orders += other.orders;
+        self.headless = self.headless.max(other.headless);
+    }
+}
+
 enum Event {
     Wake(Node),
     Deliver(Envelope),
@@ -888,9 +902,3 @@
         Ok(())
     }
 }
-
-/// For tests: an order that takes a controller in or out.
-pub fn seat_change(number: Node, out: bool) -> Act {
-    let seat = Some(Seat { number, address: format!("member-{number}") });
-    Act::Seat(SeatChange { seat, out })
-}
--- a/crates/group/src/wire.rs
+++ b/crates/group/src/wire.rs
@@ -2,6 +2,18 @@
 
 use prost::{Message, Oneof};
 
+/// Path of the stream on which members speak.
+pub const SPEAK: &str = "/shalereel.group.v1.Group/Speak";
+/// Path of the stream on which forwarders hold key ranges.
+pub const HOLD: &str = "/shalereel.v1.Ranges/Hold";
+/// Path of operators' questions and orders.
+pub const CONTROL: &str = "/shalereel.v1.Control/Ask";
+
+/// The epoch in a table's version, "epoch/number"; 0 where it has none.
+pub fn epoch_of(version: &str) -> Epoch {
+    version.split_once('/').and_then(|(epoch, _)| epoch.parse().ok()).unwrap_or(0)
+}
+
 /// Number of a supervisor, as its file has it.
 pub type Node = u32;
 /// Position in the log, from 1.
@@ -453,3 +465,76 @@
     #[prost(uint32, optional, tag = "2")]
     pub voted: Option<Node>,
 }
+
+// Key ranges, for forwarders: `/shalereel.v1.Ranges/Hold`, a stream both ways.
+
+/// A range that a forwarder holds a line of.
+#[derive(Clone, PartialEq, Message)]
+pub struct HeldRange {
+    #[prost(uint32, tag = "1")]
+    pub range: u32,
+    #[prost(uint64, tag = "2")]
+    pub epoch: Epoch,
+}
+
+/// A forwarder's question.
+#[derive(Clone, PartialEq, Message)]
+pub struct RangesAsk {
+    /// By its own clock, given back as it is; 0 is not used.
+    #[prost(uint64, tag = "1")]
+    pub asked: u64,
+    /// Number of the last answer read on this stream.
+    #[prost(uint64, tag = "2")]
+    pub seen: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub holds: Vec<HeldRange>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct RangeTold {
+    #[prost(uint32, tag = "1")]
+    pub range: u32,
+    #[prost(uint32, tag = "2")]
+    pub owner: u32,
+    #[prost(uint64, tag = "3")]
+    pub epoch: Epoch,
+    /// Where the owner is, with port.
+    #[prost(string, tag = "4")]
+    pub address: String,
+}
+
+/// An answer, or, with `asked` 0, word of what still stands.
+#[derive(Clone, PartialEq, Message)]
+pub struct RangesAnswer {
+    #[prost(uint64, tag = "1")]
+    pub asked: u64,
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// Nanoseconds from the question on that the lines may be used for.
+    #[prost(uint64, tag = "3")]
+    pub tenure: u64,
+    /// Nothing is said of lines: those that are held go on until they end.
+    #[prost(bool, tag = "4")]
+    pub silent: bool,
+    #[prost(message, repeated, tag = "5")]
+    pub lines: Vec<RangeTold>,
+    /// Of how many: a key's hash, first 64 bits as a fraction of all, falls into one.
+    #[prost(uint32, tag = "6")]
+    pub ranges: u32,
+}
+
+// Operators: `/shalereel.v1.Control/Ask`, one question and one answer.
+
+#[derive(Clone, PartialEq, Message)]
+pub struct ControlAsk {
+    /// Nothing: how things stand. Else an order.
+    #[prost(message, optional, tag = "1")]
+    pub order: Option<Command>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct ControlAnswer {
+    /// JSON, as `docs/shared-control.md` describes it.
+    #[prost(string, tag = "1")]
+    pub told: String,
+}
--- a/crates/group/tests/schedules.rs
+++ b/crates/group/tests/schedules.rs
@@ -8,14 +8,7 @@
     let mut all = Tally::default();
     for seed in seeds {
         match play(seed, script) {
-            Ok(tally) => {
-                all.steps += tally.steps;
-                all.moves += tally.moves;
-                all.crashes += tally.crashes;
-                all.elections += tally.elections;
-                all.writes += tally.writes;
-                all.orders += tally.orders;
-            }
+            Ok(tally) => all.add(&tally),
             Err(violation) => panic!("{violation}"),
         }
     }
--- a/crates/rpc/src/hub.rs
+++ b/crates/rpc/src/hub.rs
@@ -59,6 +59,8 @@
     Line(String),
     /// Standard input is over.
     NoMoreLines,
+    /// Another thread has something for this one.
+    Nudged,
     Stop,
 }
 
@@ -119,6 +121,7 @@
     ready: VecDeque<Input<L, K>>,
     signals: Option<(Token, UnixStream)>,
     lines: Option<(Token, io::Stdin, Vec<u8>)>,
+    nudges: Option<(Token, UnixStream)>,
     bounds: Bounds,
 }
 
@@ -141,6 +144,7 @@
             ready: VecDeque::new(),
             signals: None,
             lines: None,
+            nudges: None,
             bounds,
         })
     }
@@ -152,6 +156,15 @@
         Ok(())
     }
 
+    /// For another thread: whatever is written there comes as [`Input::Nudged`].
+    pub fn nudges(&mut self) -> io::Result<UnixStream> {
+        let (ours, theirs) = UnixStream::pair()?;
+        ours.set_nonblocking(true)?;
+        theirs.set_nonblocking(true)?;
+        self.nudges = Some((self.reactor.add(&ours)?, ours));
+        Ok(theirs)
+    }
+
     /// Standard input comes as lines.
     pub fn read_lines(&mut self) -> io::Result<()> {
         let input = io::stdin();
@@ -335,6 +348,13 @@
                 self.ready.push_back(Input::Stop);
             }
         }
+        if let Some((_, stream)) = self.nudges.as_mut().filter(|(nudged, _)| *nudged == token) {
+            let mut some = false;
+            while stream.read(&mut [0; 64]).is_ok_and(|count| count > 0) {
+                some = true;
+            }
+            self.ready.extend(some.then_some(Input::Nudged));
+        }
         self.take_lines(token);
         Ok(())
     }
--- a/crates/standins/src/forwarders.rs
+++ b/crates/standins/src/forwarders.rs
@@ -7,6 +7,8 @@
 use oorandom::Rand64;
 use prost::Message as _;
 use shalereel::interface::{FurtherTry, Nanos};
+use shalereel_group::wire::{epoch_of, HeldRange, RangesAnswer, RangesAsk, HOLD};
+use shalereel_group::{RangeLine, Tenant};
 use shalereel_reactor::{now, TimerId, Token, SECOND};
 use shalereel_rpc::{Code, ConnId, Hub, Input, Status, StreamId};
 use shalereel_sasp::{Body, Frames, Group, LbFlags, Member, MemberState, Message, ReturnCode, WeightEntry};
@@ -28,6 +30,7 @@
     Report(u32, u64),
     Send(u32, ConnId, Vec<u8>),
     TryOver(u64),
+    Ranges(u32, u64),
     Odd,
 }
 
@@ -110,6 +113,15 @@
     reported: Nanos,
     interval: Nanos,
     turns_down: u32,
+    /// The epoch of its tables: none lower is taken.
+    epoch: u64,
+    /// Key ranges: the stream, what is held, where the owners are, of how many, and the timer's generation.
+    hold: Option<StreamId>,
+    tenant: Tenant,
+    owners: BTreeMap<u32, SocketAddr>,
+    ranges: u32,
+    tenure: Nanos,
+    held: u64,
 }
 
 struct Forwarders {
@@ -240,6 +252,13 @@
             reported: now(),
             interval: 0,
             turns_down: 0,
+            epoch: 0,
+            hold: None,
+            tenant: Tenant::new(self.plan.unfenced),
+            owners: BTreeMap::new(),
+            ranges: 0,
+            tenure: 0,
+            held: 0,
         };
         self.forwarders.insert(id, forwarder);
         self.dial(id);
@@ -284,7 +303,7 @@
                     self.weights(id, &bytes);
                 }
             }
-            Input::HalfClosed { .. } => {}
+            Input::HalfClosed { .. } | Input::Nudged => {}
             Input::Ended { conn, stream, status } => self.ended(conn, stream, &status),
             Input::Closed { conn, why } => self.closed(conn, &why),
             Input::Due(Key::Redial(forwarder)) => self.dial(forwarder),
@@ -304,6 +323,12 @@
                     self.tried(trial, Err((Status::new(Code::DeadlineExceeded, "no answer in time"), false)));
                 }
             }
+            Input::Due(Key::Ranges(forwarder, generation)) => {
+                let current = self.forwarders.get(&forwarder).is_some_and(|f| f.held == generation);
+                if current {
+                    self.ask_ranges(forwarder);
+                }
+            }
             Input::Due(Key::Odd) => self.be_odd(),
             Input::Line(line) => self.command(serde_json::from_str(&line)?),
             Input::NoMoreLines | Input::Stop => return Ok(false),
@@ -396,7 +421,8 @@
         let supervisor = forwarder.supervisor as u32;
         // SASP has no room for the time of an order; what waited shows at the other front.
         let at = now();
-        self.trace.put(&Seen::Told { at, forwarder: id, supervisor, lines: changed as u32, ordered: at });
+        let lines = changed as u32;
+        self.trace.put(&Seen::Told { at, forwarder: id, supervisor, lines, ordered: at, epoch: 0 });
         self.close_unused(id);
         self.look_for_lines(id);
     }
@@ -416,6 +442,8 @@
             return;
         };
         forwarder.link = Some((conn, stream, load));
+        forwarder.hold = self.plan.keyed.and_then(|_| self.hub.call(conn, HOLD, None));
+        forwarder.tenant.reopened();
         forwarder.up = false;
         self.links.insert(conn, id);
         for message in forwarder.list.reopen() {
@@ -424,6 +452,40 @@
         let report = LoadReport { node: Some(forwarder.list.node.clone()), clusters: Vec::new() };
         self.hub.send(conn, load, &report.encode());
         self.hub.pause(conn, forwarder.stalled);
+        self.ask_ranges(id);
+    }
+
+    /// Asks for its key ranges, and again before what it holds ends.
+    fn ask_ranges(&mut self, id: u32) {
+        let Some(forwarder) = self.forwarders.get_mut(&id).filter(|forwarder| forwarder.alive) else {
+            return;
+        };
+        let Some(((conn, ..), stream)) = forwarder.link.zip(forwarder.hold) else { return };
+        let time = now();
+        let (seen, holds) = forwarder.tenant.asks(time);
+        let holds = holds.into_iter().map(|(range, epoch)| HeldRange { range, epoch }).collect();
+        self.hub.send(conn, stream, &RangesAsk { asked: time, seen, holds }.encode_to_vec());
+        forwarder.held += 1;
+        let wait = if forwarder.tenure > 0 { forwarder.tenure / 4 } else { self.plan.redial.0 };
+        self.hub.set(time + wait, Key::Ranges(id, forwarder.held));
+    }
+
+    fn ranges(&mut self, id: u32, message: &[u8]) {
+        let Some(forwarder) = self.forwarders.get_mut(&id) else { return };
+        let Ok(answer) = RangesAnswer::decode(message) else { return };
+        (forwarder.ranges, forwarder.tenure) = (answer.ranges, answer.tenure);
+        let mut lines = Vec::new();
+        for line in &answer.lines {
+            if let Ok(address) = line.address.parse() {
+                forwarder.owners.insert(line.owner, address);
+                lines.push(RangeLine { range: line.range, owner: line.owner, epoch: line.epoch });
+            }
+        }
+        let asked = (answer.asked > 0).then_some((answer.asked, answer.tenure));
+        let lines = (!answer.silent).then_some(&lines[..]);
+        if forwarder.tenant.answered(answer.number, asked, lines) {
+            self.ask_ranges(id);
+        }
     }
 
     /// Another supervisor, a little later.
@@ -466,6 +528,8 @@
                     self.trace.put(&Seen::Joined { at: now(), forwarder: id, supervisor });
                 }
             }
+        } else if Some(stream) == forwarder.hold {
+            self.ranges(id, message);
         } else if stream == discovery {
             match forwarder.list.hear(message) {
                 Ok(update) => self.update(id, conn, stream, &update),
@@ -481,6 +545,13 @@
             let answer = forwarder.list.turn_down(update, "told to turn it down".into());
             return self.hub.send(conn, stream, &answer);
         }
+        let epoch = epoch_of(&update.version);
+        if epoch < forwarder.epoch && update.version.contains('/') && !self.plan.unfenced {
+            let why = format!("epoch {epoch} is older than {} that is held", forwarder.epoch);
+            let answer = forwarder.list.turn_down(update, why);
+            return self.hub.send(conn, stream, &answer);
+        }
+        forwarder.epoch = if update.version.contains('/') { epoch } else { forwarder.epoch };
         let result = match update.type_url.as_str() {
             types::ROUTES => update.resources.iter().try_for_each(|any| {
                 for (name, further) in read_retries(any)? {
@@ -548,7 +619,8 @@
         }
         let (_, ordered) = update.stamp().unwrap_or_default();
         let supervisor = forwarder.supervisor as u32;
-        self.trace.put(&Seen::Told { at: now(), forwarder: id, supervisor, lines: changed as u32, ordered });
+        let (lines, epoch) = (changed as u32, forwarder.epoch);
+        self.trace.put(&Seen::Told { at: now(), forwarder: id, supervisor, lines, ordered, epoch });
         self.close_unused(id);
         Ok(())
     }
@@ -654,7 +726,13 @@
             let status = Status::new(Code::ResourceExhausted, "rate-limited by the operation's level");
             return self.hub.finish(caller.0, caller.1, status);
         }
-        let Some(address) = self.pick(id, at, None) else {
+        // By key: to the range's one owner, by a line that is still good, or nowhere.
+        let by_key = self.plan.keyed == Some(at);
+        let range = (inv.inv.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as u32 % forwarder.ranges.max(1);
+        let line = forwarder.tenant.line(now(), range).filter(|_| by_key);
+        let owner = line.and_then(|line| forwarder.owners.get(&line.owner).copied());
+        let picked = if by_key { owner } else { self.pick(id, at, None) };
+        let Some(address) = picked else {
             if let Some(forwarder) = self.forwarders.get_mut(&id) {
                 forwarder.sums[at].dropped += 1;
             }
@@ -664,7 +742,13 @@
         let trial = Trial {
             forwarder: id,
             caller,
-            inv: Invocation { forwarder: id, further: 0, ..inv },
+            inv: Invocation {
+                forwarder: id,
+                further: 0,
+                range,
+                epoch: line.map_or(0, |line| line.epoch),
+                ..inv
+            },
             until,
             address,
             begun: now(),
@@ -726,7 +810,7 @@
         let Some(trial) = self.trials.get_mut(&number) else { return };
         let (id, address, at) = (trial.forwarder, trial.address, trial.inv.operation as usize);
         let Some(forwarder) = self.forwarders.get_mut(&id) else { return };
-        trial.further = forwarder.further[at];
+        trial.further = if trial.inv.epoch > 0 { FurtherTry::Never } else { forwarder.further[at] };
         trial.begun = now();
         trial.answer = None;
         *forwarder.open.entry(address).or_default() += 1;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod callers;
 mod forwarders;
+mod links;
 mod plan;
 mod registry;
 mod servers;
@@ -11,8 +12,8 @@
 mod work;
 
 pub use plan::{
-    CallersPlan, Command, ForwarderPlan, ForwardersPlan, KindPlan, Listed, ListedAs, OperationPlan, Pick,
-    Ready, RegistryPlan, Repeats, ServerPlan, ServersPlan, WhichEffect,
+    CallersPlan, Command, ForwarderPlan, ForwardersPlan, KindPlan, LinksPlan, Listed, ListedAs,
+    OperationPlan, Pick, Ready, RegistryPlan, Repeats, ServerPlan, ServersPlan, WhichEffect,
 };
 pub use trace::{read_trace, Outcome, Seen};
 
@@ -33,7 +34,8 @@
         "forwarders" => forwarders::run(),
         "callers" => callers::run(),
         "registry" => registry::run(),
-        other => bail!("no stand-in {other:?}; there are servers, forwarders, callers and registry"),
+        "links" => links::run(),
+        other => bail!("no stand-in {other:?}; there are servers, forwarders, callers, registry and links"),
     }
 }
 
--- a/crates/standins/src/plan.rs
+++ b/crates/standins/src/plan.rs
@@ -115,10 +115,20 @@
     pub avoid_for: Nanos,
     pub first_wait: f64,
     pub redial: (Nanos, Nanos),
+    /// Position of the operation that goes by key ranges; none: all go by weight.
+    pub keyed: Option<usize>,
+    /// Planted: no epoch is ever too old.
+    pub unfenced: bool,
     /// Planted: tables are acknowledged and not applied once servers drain.
     pub ignore_drains: bool,
 }
 
+/// Doors between supervisors, one for each ordered pair.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct LinksPlan {
+    pub members: u32,
+}
+
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct CallersPlan {
     pub trace: PathBuf,
@@ -260,6 +270,16 @@
     ReportGhost {
         on: bool,
     },
+    // To links.
+    /// Where a supervisor is by now.
+    Member {
+        member: u32,
+        address: SocketAddr,
+    },
+    /// From whom to whom nothing passes.
+    CutLinks {
+        pairs: Vec<(u32, u32)>,
+    },
     // To callers.
     Rate {
         factor: f64,
--- a/crates/standins/src/servers.rs
+++ b/crates/standins/src/servers.rs
@@ -139,7 +139,7 @@
             Input::Due(Key::Shaken(conn)) => self.hub.pause(conn, false),
             Input::Line(line) => self.command(serde_json::from_str(&line)?)?,
             Input::NoMoreLines | Input::Stop => return Ok(false),
-            Input::Message { .. } | Input::HalfClosed { .. } | Input::Bytes { .. } => {}
+            Input::Message { .. } | Input::HalfClosed { .. } | Input::Bytes { .. } | Input::Nudged => {}
         }
         Ok(true)
     }
@@ -311,6 +311,8 @@
                 attempt: inv.attempt,
                 further: inv.further,
                 fingerprint: inv.fingerprint,
+                range: inv.range,
+                epoch: inv.epoch,
             });
         }
     }
--- a/crates/standins/src/trace.rs
+++ b/crates/standins/src/trace.rs
@@ -44,6 +44,11 @@
         attempt: u32,
         further: u32,
         fingerprint: u64,
+        /// By key: the range and the epoch of the line that brought it; 0: by weight.
+        #[serde(default)]
+        range: u32,
+        #[serde(default)]
+        epoch: u64,
     },
     /// At a server: it fell over.
     Fell {
@@ -85,6 +90,9 @@
         supervisor: u32,
         lines: u32,
         ordered: Nanos,
+        /// That the tables carry; 0: none.
+        #[serde(default)]
+        epoch: u64,
     },
     /// At a forwarder: a try was sent to a server.
     Tried {
--- a/crates/standins/src/work.rs
+++ b/crates/standins/src/work.rs
@@ -25,6 +25,11 @@
     pub(crate) work: u64,
     #[prost(uint32, tag = "7")]
     pub(crate) operation: u32,
+    /// Where it goes by its key: the range, and the epoch of the line that it was sent by; 0: by weight.
+    #[prost(uint32, tag = "8")]
+    pub(crate) range: u32,
+    #[prost(uint64, tag = "9")]
+    pub(crate) epoch: u64,
 }
 
 /// What comes back: the server's load as it says.
--- a/crates/supervisor/src/core.rs
+++ b/crates/supervisor/src/core.rs
@@ -1,13 +1,14 @@
 //! The supervisor without its sockets: what peers say goes in, what to write comes out. Messages become events,
 //! the module decides, and its orders become messages again. Free of I/O and clock.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use bytes::Bytes;
 use shalereel::brain::Brain;
 use shalereel::interface::{
     Event, FurtherTry, Nanos, Order, ProbeEnding, ProxyId, RosterNews, ServerId, TableId,
 };
+use shalereel_group::Fit;
 use shalereel_rpc::{frame, Code, Status};
 use shalereel_xds::{
     cluster, listener, routes, types, Asked, Assignment, LoadAnswer, LoadReport, NodeFacts, Resource,
@@ -20,6 +21,7 @@
 use crate::patience::{Patience, Verdict};
 use crate::reports::Reports;
 use crate::roster::Roster;
+use crate::shared::{Shared, Wanted};
 use crate::tables::{Reach, Tables};
 
 /// A stream, numbered by the shell; never given twice.
@@ -58,6 +60,8 @@
     Remark(String),
     /// Something odd that costs nothing but a word.
     Odd(String),
+    /// Something that the group wants.
+    Group(Wanted),
     /// The list has changed: [`Core::remember`] is to be kept, soon.
     Remember,
 }
@@ -166,6 +170,7 @@
     roster: Roster,
     reports: Reports,
     advice: Advice,
+    shared_with: Option<Shared>,
     streams: BTreeMap<Peer, Stream>,
     /// Load streams, and the proxy whose first report named it.
     loads: BTreeMap<Peer, Option<(ProxyId, u16)>>,
@@ -194,6 +199,7 @@
             roster: Roster::new(&deployment.localities),
             reports: Reports::default(),
             advice: Advice::new(Patience::new(facts).balancer()),
+            shared_with: None,
             streams: BTreeMap::new(),
             loads: BTreeMap::new(),
             proxies: BTreeMap::new(),
@@ -218,6 +224,52 @@
         core
     }
 
+    /// It shares its fleet with others from now on.
+    pub fn share(&mut self, now: Nanos, shared: Shared) {
+        let orders = shared.begin();
+        self.shared_with = Some(shared);
+        if orders != Default::default() {
+            self.ordered(now, orders);
+        }
+    }
+
+    /// Its part in a group, if it has one.
+    pub fn shared(&mut self) -> Option<(&mut Shared, &Roster)> {
+        self.shared_with.as_mut().map(|shared| (shared, &self.roster))
+    }
+
+    /// Operators' orders as they stand now.
+    fn ordered(&mut self, now: Nanos, (drained, held): (BTreeSet<ServerId>, BTreeMap<ServerId, f64>)) {
+        self.events.push(Event::Roster(self.roster.order(drained)));
+        if self.tables.hold(held) == Reach::Everyone {
+            for proxy in self.proxies.values_mut().filter(|proxy| !proxy.tables.is_empty()) {
+                proxy.due.get_or_insert((now, Vec::new()));
+            }
+        }
+    }
+
+    /// What the group brought about, and what it is told in turn.
+    fn group_turn(&mut self, now: Nanos) {
+        let Some(shared) = &mut self.shared_with else { return };
+        let followed = shared.turn(now, &self.roster);
+        self.effects.extend(followed.wanted.into_iter().map(Effect::Group));
+        self.events.extend(followed.events);
+        if let Some(orders) = followed.orders {
+            self.ordered(now, orders);
+        }
+    }
+
+    /// Which servers could own a key range: warm, ready and not withdrawn by the module.
+    fn fits(&self, now: Nanos) -> BTreeMap<u32, Fit> {
+        let cold_for = self.deployment.facts.cold_for;
+        let fit = |(server, locality, ready): (ServerId, u16, bool)| {
+            let warm = !self.roster.started_within(server, now, cold_for);
+            let open = ready && warm && !self.tables.suspended(server);
+            (server, Fit { server, locality: locality.into(), open, listed: ready })
+        };
+        self.roster.servers().into_iter().map(fit).collect()
+    }
+
     /// A discovery stream was opened.
     pub fn opened(&mut self, peer: Peer, variant: Variant) {
         let serving = Serving::new(variant, &self.identity);
@@ -267,7 +319,12 @@
         for asked in stream.serving.hear(message)? {
             match asked {
                 Asked::Node(node) => self.join(peer, &node)?,
-                Asked::Wants { type_url, names } => self.answer(now, peer, &type_url, names),
+                Asked::Wants { type_url, names } => {
+                    if let (Some(shared), Some(stream)) = (&mut self.shared_with, self.streams.get(&peer)) {
+                        shared.brought(stream.serving.brought(&type_url));
+                    }
+                    self.answer(now, peer, &type_url, names);
+                }
                 Asked::Holds { type_url, nonce } => self.answered(now, peer, &type_url, nonce),
                 Asked::TurnedDown { type_url, nonce, why } => {
                     self.turned_down(now, peer, &type_url, nonce, &why);
@@ -415,7 +472,7 @@
         if self.numbers.len() >= 4 * most {
             self.numbers.retain(|_, number| self.proxies.contains_key(number));
         }
-        let taken: std::collections::BTreeSet<ProxyId> = self.numbers.values().copied().collect();
+        let taken: BTreeSet<ProxyId> = self.numbers.values().copied().collect();
         let number = (0..ProxyId::MAX).find(|number| !taken.contains(number)).unwrap_or(ProxyId::MAX);
         self.numbers.insert(id.to_owned(), number);
         Ok(number)
@@ -483,7 +540,8 @@
         let timer = self.timers.keys().next().map(|key| key.0.max(batch));
         let cycle = self.reported + self.deployment.facts.report_cycle;
         let again = self.proxies.values().filter_map(|proxy| proxy.again_at).min();
-        let parts = [pending, timer, Some(cycle), self.channel.next(), again];
+        let group = self.shared_with.as_ref().map(Shared::next);
+        let parts = [pending, timer, Some(cycle), self.channel.next(), again, group];
         parts.into_iter().flatten().min().unwrap_or(cycle)
     }
 
@@ -492,13 +550,20 @@
     pub fn turn(&mut self, now: Nanos, blocked: impl Fn(Peer) -> bool) -> Vec<Effect> {
         if now >= self.reported + self.deployment.facts.report_cycle {
             self.reported = now;
-            self.events.extend(self.reports.take());
+            let reports = self.reports.take();
+            let fits = self.shared_with.is_some().then(|| self.fits(now));
+            if let Some((shared, fits)) = self.shared_with.as_mut().zip(fits) {
+                shared.report(&reports);
+                shared.servers(fits);
+            }
+            self.events.extend(reports);
             let strangers = std::mem::take(&mut self.reports.strangers);
             let word = || Effect::Odd(format!("{strangers} rows of load name servers that no list ever had"));
             self.effects.extend((strangers > 0).then(word));
             self.part_with_silent(now);
             self.advice.tick();
         }
+        self.group_turn(now);
         if self.decided.is_none_or(|at| now >= at + self.deployment.tick) {
             while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= now) {
                 self.events.push(Event::Fired { ctx: entry.remove() });
@@ -680,7 +745,10 @@
                     });
                     let response = Response {
                         type_url,
-                        version: &self.nonce.to_string(),
+                        version: &match &self.shared_with {
+                            Some(shared) => format!("{}/{}", shared.epoch(), self.nonce),
+                            None => self.nonce.to_string(),
+                        },
                         resources: resources.collect(),
                         removed: Vec::new(),
                         nonce: self.nonce,
--- a/crates/supervisor/src/daemon.rs
+++ b/crates/supervisor/src/daemon.rs
@@ -8,6 +8,7 @@
 use anyhow::{Context, Result};
 use prost::Message;
 use shalereel::interface::{Nanos, ProbeEnding, ServerId};
+use shalereel_group::wire::{CONTROL, HOLD, SPEAK};
 use shalereel_reactor::now;
 use shalereel_rpc::{Code, ConnId, Hub, Input, Status, StreamId};
 use shalereel_xds::{
@@ -16,7 +17,9 @@
 
 use crate::core::{Core, Effect, Peer};
 use crate::deployment::Deployment;
+use crate::keeper::Keeper;
 use crate::patience::Patience;
+use crate::shared::{Shared, Wanted};
 
 /// Resource name of the whole fleet at the registry.
 pub const FLEET: &str = "fleet";
@@ -45,6 +48,13 @@
 
 enum Call {
     Peer(Peer),
+    /// A member of the group speaks here.
+    Member,
+    /// We speak to that member.
+    ToMember(u32),
+    /// A forwarder that holds key ranges.
+    Tenant(Peer),
+    Operator(Peer),
     List,
     Probe(ServerId),
 }
@@ -66,6 +76,10 @@
     balancers: BTreeMap<Peer, ConnId>,
     to_keep: bool,
     stopping: bool,
+    keeper: Option<Keeper>,
+    /// Streams to members of the group, and when one that was not reached is dialled again.
+    members: BTreeMap<u32, (ConnId, StreamId)>,
+    again: BTreeMap<u32, Nanos>,
 }
 
 /// Runs until it is told to stop. `ready` is called once with the addresses that are served, the second front's last.
@@ -120,8 +134,12 @@
         balancers: BTreeMap::new(),
         to_keep: false,
         stopping: false,
+        keeper: None,
+        members: BTreeMap::new(),
+        again: BTreeMap::new(),
         deployment,
     };
+    daemon.share()?;
     // What opens the list's stream, whenever it is dialled.
     daemon.list.want(types::ASSIGNMENT, [FLEET.to_owned()]);
     tracing::info!(%address, supervisor = daemon.deployment.facts.supervisor, "serving");
@@ -137,6 +155,18 @@
 }
 
 impl Daemon {
+    /// Takes part in its group, if the file names one.
+    fn share(&mut self) -> Result<()> {
+        let Some((charter, ranges)) = self.deployment.shared.clone() else { return Ok(()) };
+        let nudge = self.hub.nudges()?;
+        let (keeper, kept) = Keeper::open(&self.deployment.folder, nudge)?;
+        let names = (&self.deployment.operations[..], &self.deployment.localities[..]);
+        let shared = Shared::new(charter, now(), kept, names, ranges);
+        self.core.share(now(), shared);
+        self.keeper = Some(keeper);
+        Ok(())
+    }
+
     fn turn(&mut self) -> Result<()> {
         for input in self.hub.wait(Some(self.core.next().max(now())))? {
             self.take(input);
@@ -158,6 +188,10 @@
             Input::Message { conn, stream, message } => match self.calls.get(&(conn, stream)) {
                 Some(Call::Peer(peer)) => self.core.said(now(), *peer, &message),
                 Some(Call::List) => self.listed(conn, stream, &message),
+                Some(Call::Member | Call::Tenant(_) | Call::Operator(_)) => {
+                    self.group_said(conn, stream, &message);
+                }
+                Some(Call::ToMember(_)) => {}
                 Some(&Call::Probe(server)) => {
                     let serving = HealthAnswer::decode(message).is_ok_and(|answer| answer.status == 1);
                     let ending = if serving { ProbeEnding::Answered } else { ProbeEnding::Rejected };
@@ -166,6 +200,8 @@
                 None => {}
             },
             // A client that says no more has left: discovery and load streams live by both directions.
+            Input::HalfClosed { conn, stream }
+                if matches!(self.calls.get(&(conn, stream)), Some(Call::Operator(_))) => {}
             Input::HalfClosed { conn, stream } => {
                 self.over(conn, stream, "half closed");
                 self.hub.finish(conn, stream, Status::OK);
@@ -179,6 +215,12 @@
                     self.probe_over(conn, server, ProbeEnding::TimedOut);
                 }
             }
+            Input::Nudged => {
+                let done = self.keeper.as_ref().and_then(Keeper::done);
+                if let Some((done, (shared, _))) = done.zip(self.core.shared()) {
+                    shared.stored(now(), done);
+                }
+            }
             Input::Stop => self.stopping = true,
             Input::Opened { conn, at: Front::Sasp } => {
                 self.last_peer += 1;
@@ -202,6 +244,18 @@
             ADS | EDS => self.core.opened(peer, Variant::StateOfTheWorld),
             DELTA_ADS | DELTA_EDS => self.core.opened(peer, Variant::Incremental),
             LRS => self.core.reporting(peer),
+            SPEAK | HOLD | CONTROL if self.core.shared().is_none() => {
+                let text = "this supervisor shares nothing: its file has no [shared]";
+                return self.hub.finish(conn, stream, Status::new(Code::Unimplemented, text));
+            }
+            SPEAK => drop(self.calls.insert((conn, stream), Call::Member)),
+            HOLD => {
+                if let Some((shared, _)) = self.core.shared() {
+                    shared.holds(peer);
+                }
+                self.calls.insert((conn, stream), Call::Tenant(peer));
+            }
+            CONTROL => drop(self.calls.insert((conn, stream), Call::Operator(peer))),
             HEALTH => {
                 self.hub.send(conn, stream, &HealthAnswer { status: 1 }.encode_to_vec());
                 return self.hub.finish(conn, stream, Status::OK);
@@ -211,7 +265,7 @@
                 return self.hub.finish(conn, stream, status);
             }
         }
-        self.calls.insert((conn, stream), Call::Peer(peer));
+        self.calls.entry((conn, stream)).or_insert(Call::Peer(peer));
         self.peers.insert(peer, (conn, stream));
     }
 
@@ -227,7 +281,14 @@
                 self.registry_lost(why);
             }
             Some(Call::Probe(server)) => self.probe_over(conn, server, ProbeEnding::Errored),
-            None => {}
+            Some(Call::ToMember(member)) => self.member_lost(member),
+            Some(Call::Tenant(peer) | Call::Operator(peer)) => {
+                self.peers.remove(&peer);
+                if let Some((shared, _)) = self.core.shared() {
+                    shared.ended(peer);
+                }
+            }
+            Some(Call::Member) | None => {}
         }
     }
 
@@ -248,8 +309,79 @@
         }
     }
 
+    fn group_said(&mut self, conn: ConnId, stream: StreamId, message: &[u8]) {
+        let Some((shared, roster)) = self.core.shared() else { return };
+        let result = match self.calls.get(&(conn, stream)) {
+            Some(Call::Member) => shared.heard(now(), message),
+            Some(&Call::Tenant(peer)) => shared.ranges_asked(now(), peer, message, roster),
+            Some(&Call::Operator(peer)) => shared.control(now(), peer, message),
+            _ => Ok(()),
+        };
+        if let Err(status) = result {
+            self.over(conn, stream, &status.to_string());
+            self.hub.finish(conn, stream, status);
+        }
+    }
+
+    /// Says something to a member. What cannot leave now is lost, as on any network: all of it is said again.
+    fn tell(&mut self, to: u32, address: &str, message: &[u8]) {
+        if !self.members.contains_key(&to) && self.again.get(&to).is_none_or(|again| now() >= *again) {
+            self.again.insert(to, self.patience.member_again(now()));
+            let conn = address.parse().ok().and_then(|address| self.hub.dial(address).ok());
+            if let Some((conn, stream)) =
+                conn.and_then(|conn| Some((conn, self.hub.call(conn, SPEAK, None)?)))
+            {
+                self.calls.insert((conn, stream), Call::ToMember(to));
+                self.members.insert(to, (conn, stream));
+            }
+        }
+        if let Some(&(conn, stream)) = self.members.get(&to) {
+            // One that stands still is not told all that it missed.
+            if self.hub.unread(conn, stream) < self.patience.connection().message {
+                self.hub.send(conn, stream, message);
+            }
+        }
+    }
+
+    fn member_lost(&mut self, member: u32) {
+        if let Some((conn, stream)) = self.members.remove(&member) {
+            self.calls.remove(&(conn, stream));
+            self.hub.close(conn, false);
+        }
+    }
+
+    fn wanted(&mut self, wanted: Wanted) {
+        match wanted {
+            Wanted::Tell { to, address, message } => self.tell(to, &address, &message),
+            Wanted::Keep(writing) => {
+                if let Some(keeper) = &self.keeper {
+                    keeper.keep(writing);
+                }
+            }
+            Wanted::Answer { peer, result } => {
+                let Some((conn, stream)) = self.peers.remove(&peer) else { return };
+                self.calls.remove(&(conn, stream));
+                let status = match result {
+                    Ok(message) => {
+                        self.hub.send(conn, stream, &message);
+                        Status::OK
+                    }
+                    Err(status) => status,
+                };
+                self.hub.finish(conn, stream, status);
+            }
+            Wanted::Ranges { peer, message } => {
+                if let Some(&(conn, stream)) = self.peers.get(&peer) {
+                    self.hub.send(conn, stream, &message);
+                }
+            }
+            Wanted::Remark(line) => tracing::info!(group = line),
+        }
+    }
+
     fn carry_out(&mut self, effect: Effect) {
         match effect {
+            Effect::Group(wanted) => self.wanted(wanted),
             Effect::Say { peer, message } => {
                 if let Some(&(conn, stream)) = self.peers.get(&peer) {
                     self.hub.send_framed(conn, stream, message);
@@ -402,6 +534,11 @@
     /// Ends all streams with a status, so that proxies dial another supervisor at once.
     fn part(&mut self) {
         self.keep();
+        if let Some((shared, _)) = self.core.shared() {
+            for wanted in shared.leave(now()) {
+                self.wanted(wanted);
+            }
+        }
         for (conn, stream) in std::mem::take(&mut self.peers).into_values() {
             self.hub.finish(conn, stream, Status::new(Code::Unavailable, "this supervisor stops"));
         }
--- a/crates/supervisor/src/deployment.rs
+++ b/crates/supervisor/src/deployment.rs
@@ -11,8 +11,12 @@
 use shalereel::interface::{
     Admission, Effect, ListedSize, LoadColumn, LoadSource, Nanos, Operation, RepeatScope, StartupFacts,
 };
+use shalereel_group::wire::{Duty, Seat};
+use shalereel_group::{Charter, Told};
 use thiserror::Error;
 
+use crate::patience::Patience;
+
 /// What is wrong with a file that an operator wrote.
 #[derive(Debug, Error)]
 pub enum FileError {
@@ -56,6 +60,8 @@
     list: ListFile,
     /// The second front; off unless given.
     sasp: Option<SaspFile>,
+    /// A group of supervisors; none unless given.
+    shared: Option<SharedFile>,
     forwarders: ForwardersFile,
     channel: ChannelFile,
     rules: RulesFile,
@@ -99,6 +105,22 @@
     listen: SocketAddr,
 }
 
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SharedFile {
+    name: String,
+    /// Where each is reached, by number; this one's own among them.
+    members: Vec<SocketAddr>,
+    #[serde(default)]
+    joining: bool,
+    election_ms: f64,
+    drift: f64,
+    #[serde(default)]
+    ranges: u32,
+    tenure_ms: f64,
+    in_flight_ms: f64,
+}
+
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct ListFile {
@@ -183,6 +205,8 @@
     Flood,
     /// Tables go out with no line.
     EmptyTables,
+    /// Neither epochs nor leases bind this member of a group.
+    NoFence,
 }
 
 /// What a supervisor needs to run.
@@ -192,6 +216,8 @@
     pub registry: SocketAddr,
     /// Where balancers are served by SASP; nowhere unless given.
     pub sasp: Option<SocketAddr>,
+    /// The group that it belongs to, and how many key ranges that has.
+    pub shared: Option<(Charter, u32)>,
     /// Where the last list is kept.
     pub folder: PathBuf,
     /// Batches are at least so far apart.
@@ -254,6 +280,57 @@
     }
 }
 
+impl Checker<'_> {
+    fn shared(
+        &self,
+        shared: &SharedFile,
+        told: &File,
+        facts: &StartupFacts,
+    ) -> Result<(Charter, u32), FileError> {
+        let at = |key| ("shared", 0, key);
+        if let Some(address) = shared.members.iter().find(|address| !address.ip().is_loopback()) {
+            let problem = format!("{address} is not a loopback address");
+            return Err(self.refuse(at("members"), problem, "use 127.0.0.0/8 or [::1]"));
+        }
+        let own = usize::from(told.supervisor);
+        if shared.members.len() < 1 + if shared.joining { 0 } else { own } || shared.members.len() > 9 {
+            let problem = format!("{} addresses, for supervisor number {own}", shared.members.len());
+            let remedy = "give one to nine, one for each number from 0 that the group began with";
+            return Err(self.refuse(at("members"), problem, remedy));
+        }
+        self.within(at("drift"), shared.drift, (0.0, 0.2))?;
+        self.within(at("ranges"), shared.ranges.into(), (0.0, 4096.0))?;
+        let seat = |(number, address): (usize, &SocketAddr)| Seat {
+            number: number as u32,
+            address: address.to_string(),
+        };
+        let tables = (0..told.operations.len() as u32).map(Duty::Table);
+        let drains = (0..told.localities.len() as u32).map(Duty::Drains);
+        let charter = Charter {
+            me: own as u32,
+            address: shared.members.get(own).unwrap_or(&told.listen).to_string(),
+            name: shared.name.clone(),
+            seats: shared.members.iter().enumerate().map(seat).collect(),
+            joining: shared.joining,
+            told: Told {
+                election: self.span(at("election_ms"), shared.election_ms, 50.0)?,
+                drift: shared.drift,
+                tenure: self.span(at("tenure_ms"), shared.tenure_ms, 50.0)?,
+                in_flight: self.span(at("in_flight_ms"), shared.in_flight_ms, 0.0)?,
+                batch: Patience::new(facts).entries(),
+            },
+            seed: told.seed,
+            duties: tables
+                .chain(drains)
+                .chain((0..shared.ranges).map(Duty::Range))
+                .chain([Duty::Reports])
+                .collect(),
+            planted: (told.planted == Some(Planted::NoFence)).then_some(shalereel_group::Planted::NoFence),
+        };
+        Ok((charter, shared.ranges))
+    }
+}
+
 impl Deployment {
     /// Reads and checks a file.
     pub fn read(file: &Path) -> Result<Self, FileError> {
@@ -270,7 +347,7 @@
                 return Err(check.refuse(("", 0, key), problem, "use 127.0.0.0/8 or [::1]"));
             }
         }
-        let sasp = told.sasp.map(|sasp| sasp.listen);
+        let sasp = told.sasp.as_ref().map(|sasp| sasp.listen);
         if let Some(address) = sasp.filter(|address| !address.ip().is_loopback()) {
             let problem = format!("{address} is not a loopback address");
             return Err(check.refuse(("sasp", 0, "listen"), problem, "use 127.0.0.0/8 or [::1]"));
@@ -376,7 +453,9 @@
             drain_grace: check.span(rule("drain_grace_ms"), rules.drain_grace_ms, 0.0)?,
             gone_does_not_bind: rules.gone_does_not_bind,
         };
+        let shared = told.shared.as_ref().map(|shared| check.shared(shared, &told, &facts)).transpose()?;
         Ok(Deployment {
+            shared,
             listen: told.listen,
             registry: told.registry,
             sasp,
--- a/crates/supervisor/src/patience.rs
+++ b/crates/supervisor/src/patience.rs
@@ -36,6 +36,10 @@
 /// Members and groups of one balancer: twice ten thousand, and sixteen groups an operation.
 const MEMBERS: usize = 20_000;
 const GROUPS: usize = 256;
+/// Entries of a group's log in one message.
+const ENTRIES: usize = 64;
+/// A member that is not reached is dialled again so many times in a report cycle.
+const MEMBER_DIALS: Nanos = 8;
 /// Requests for weights that a balancer is answered in a report cycle; one is due.
 const ASKS: u32 = 16;
 
@@ -75,6 +79,15 @@
         sent + self.cycle
     }
 
+    /// When a member of the group that was not reached is dialled again.
+    pub fn member_again(&self, lost: Nanos) -> Nanos {
+        lost + self.cycle / MEMBER_DIALS
+    }
+
+    pub fn entries(&self) -> usize {
+        ENTRIES
+    }
+
     /// What one connection may cost.
     pub fn connection(&self) -> shalereel_rpc::Bounds {
         let (message, calls) = (MESSAGE, CALLS);
--- a/crates/supervisor/src/roster.rs
+++ b/crates/supervisor/src/roster.rs
@@ -43,6 +43,8 @@
     quiesced: BTreeSet<SocketAddr>,
     /// Servers that said of themselves that they are there, and that no registry lists: their numbers.
     themselves: BTreeMap<SocketAddr, ServerId>,
+    /// Servers that operators of the group drain.
+    ordered: BTreeSet<ServerId>,
 }
 
 /// Numbers of servers that list themselves begin here; a registry's are below.
@@ -141,6 +143,18 @@
         RosterNews::Full(self.rows())
     }
 
+    /// Operators drain these and no others.
+    pub fn order(&mut self, drained: BTreeSet<ServerId>) -> RosterNews {
+        self.ordered = drained;
+        RosterNews::Full(self.rows())
+    }
+
+    /// Of each listed server: number, locality, ready and neither draining nor ordered to.
+    pub fn servers(&self) -> Vec<(ServerId, u16, bool)> {
+        let ready = |row: &RosterRow| row.readiness == Readiness::Ready;
+        self.rows().iter().map(|row| (row.server, row.locality, ready(row))).collect()
+    }
+
     fn rows(&self) -> Vec<RosterRow> {
         let listed = self.places.iter().filter(|(_, place)| place.listed);
         listed
@@ -149,7 +163,10 @@
                 locality: self.locality(&place.zone).unwrap_or(0),
                 kind: place.kind,
                 cell: place.cell,
-                readiness: match place.draining || self.quiesced.contains(&place.address) {
+                readiness: match place.draining
+                    || self.quiesced.contains(&place.address)
+                    || self.ordered.contains(&server)
+                {
                     true => Readiness::Draining,
                     false => Readiness::Ready,
                 },
--- /dev/null
+++ b/crates/supervisor/src/shared.rs
@@ -0,0 +1,340 @@
+//! A supervisor's part in its group: what the group agrees on becomes events and bounds for this one, and what this
+//! one sees becomes reports for the group. Free of I/O; whoever shares nothing has none of it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use prost::Message;
+use serde_json::json;
+use shalereel::interface::{Digest, Event, Nanos};
+use shalereel_group::wire::{
+    epoch_of, Command, ControlAnswer, ControlAsk, Duty, Envelope, RangeTold, RangesAnswer, RangesAsk,
+    Standing,
+};
+use shalereel_group::{Changed, Charter, Effect as Told, Fit, Group, RangeLine, Recovered, State, Writing};
+use shalereel_rpc::{Code, Status};
+
+use crate::core::Peer;
+use crate::roster::Roster;
+
+/// What the group wants of the shell.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Wanted {
+    /// To another member; it may get lost.
+    Tell {
+        to: u32,
+        address: String,
+        message: Vec<u8>,
+    },
+    /// To be kept and synced.
+    Keep(Writing),
+    /// The one message of an operator's stream, or why there is none.
+    Answer {
+        peer: Peer,
+        result: Result<Vec<u8>, Status>,
+    },
+    /// On a forwarder's stream of key ranges.
+    Ranges {
+        peer: Peer,
+        message: Vec<u8>,
+    },
+    Remark(String),
+}
+
+/// What changed for the supervisor itself.
+#[derive(Debug, Default)]
+pub struct Followed {
+    pub wanted: Vec<Wanted>,
+    /// What others met, for the module.
+    pub events: Vec<Event>,
+    /// Operators' orders changed: servers to be drained, and bounds of weights.
+    pub orders: Option<(BTreeSet<u32>, BTreeMap<u32, f64>)>,
+}
+
+/// The group as this supervisor has it.
+#[derive(Debug)]
+pub struct Shared {
+    group: Group,
+    ranges: u32,
+    operations: Vec<String>,
+    localities: Vec<String>,
+    /// Streams of forwarders that hold key ranges.
+    tenants: BTreeSet<Peer>,
+    /// Operators' streams whose order is not answered yet.
+    asked: BTreeSet<Peer>,
+    /// Highest epoch that a proxy brought along: what is published carries at least that.
+    adopted: u64,
+    wanted: Vec<Wanted>,
+}
+
+impl Shared {
+    pub fn new(
+        charter: Charter,
+        now: Nanos,
+        kept: Option<Recovered>,
+        names: (&[String], &[String]),
+        ranges: u32,
+    ) -> Self {
+        Shared {
+            group: Group::new(charter, now, kept),
+            ranges,
+            operations: names.0.to_vec(),
+            localities: names.1.to_vec(),
+            tenants: BTreeSet::new(),
+            asked: BTreeSet::new(),
+            adopted: 0,
+            wanted: Vec::new(),
+        }
+    }
+
+    pub fn next(&self) -> Nanos {
+        self.group.next()
+    }
+
+    /// The epoch that tables carry: never lower than what any of its proxies holds.
+    pub fn epoch(&self) -> u64 {
+        self.group.fence().max(self.adopted)
+    }
+
+    /// A proxy holds a table with this version. By its own rules a supervisor may tell any proxy its weights, with
+    /// or without the group; the fence is against what is late, so it goes on from where the proxy stands.
+    pub fn brought(&mut self, version: &str) {
+        self.adopted = self.adopted.max(epoch_of(version));
+    }
+
+    /// A message of another member. Errors: it cannot be read.
+    pub fn heard(&mut self, now: Nanos, message: &[u8]) -> Result<(), Status> {
+        let envelope = Envelope::decode(message).map_err(|error| unreadable("Envelope", &error))?;
+        self.group.heard(now, envelope);
+        Ok(())
+    }
+
+    pub fn stored(&mut self, now: Nanos, number: Result<u64, String>) {
+        match number {
+            Ok(number) => self.group.stored(now, number),
+            Err(why) => self.group.store_failed(&why),
+        }
+    }
+
+    pub fn report(&mut self, events: &[Event]) {
+        let digests = events.iter().filter_map(|event| match event {
+            Event::Digest(digest) => Some(digest),
+            _ => None,
+        });
+        self.group.report(digests);
+    }
+
+    pub fn servers(&mut self, fits: BTreeMap<u32, Fit>) {
+        self.group.servers(fits);
+    }
+
+    // Forwarders.
+
+    pub fn holds(&mut self, peer: Peer) {
+        self.tenants.insert(peer);
+    }
+
+    pub fn ended(&mut self, peer: Peer) {
+        self.tenants.remove(&peer);
+        self.asked.remove(&peer);
+    }
+
+    pub fn ranges_asked(
+        &mut self,
+        now: Nanos,
+        peer: Peer,
+        message: &[u8],
+        roster: &Roster,
+    ) -> Result<(), Status> {
+        let ask = RangesAsk::decode(message).map_err(|error| unreadable("RangesAsk", &error))?;
+        let holds: Vec<(u32, u64)> = ask.holds.iter().map(|held| (held.range, held.epoch)).collect();
+        let (number, lines) = self.group.ranges_asked(now, peer, ask.seen, &holds);
+        let silent = lines.is_none();
+        let lines = told(&lines.unwrap_or_default(), roster);
+        let (asked, tenure, ranges) = (ask.asked, self.group.tenure(), self.ranges);
+        let message = RangesAnswer { asked, number, tenure, silent, lines, ranges }.encode_to_vec();
+        self.wanted.push(Wanted::Ranges { peer, message });
+        Ok(())
+    }
+
+    fn say_standing(&mut self, roster: &Roster) {
+        for peer in self.tenants.clone() {
+            let (number, lines) = self.group.ranges_standing();
+            let lines = told(&lines, roster);
+            let (tenure, ranges) = (self.group.tenure(), self.ranges);
+            let message =
+                RangesAnswer { asked: 0, number, tenure, silent: false, lines, ranges }.encode_to_vec();
+            self.wanted.push(Wanted::Ranges { peer, message });
+        }
+    }
+
+    // Operators.
+
+    pub fn control(&mut self, now: Nanos, peer: Peer, message: &[u8]) -> Result<(), Status> {
+        let ask = ControlAsk::decode(message).map_err(|error| unreadable("ControlAsk", &error))?;
+        match ask.order {
+            None => {
+                let told = self.standing(now).to_string();
+                self.answer(peer, Ok(told));
+            }
+            Some(Command { act: Some(act), .. }) => {
+                self.asked.insert(peer);
+                self.group.order(now, peer, act);
+            }
+            Some(_) => return Err(Status::new(Code::InvalidArgument, "an order of a later version")),
+        }
+        Ok(())
+    }
+
+    fn answer(&mut self, peer: Peer, result: Result<String, Status>) {
+        let result = result.map(|told| ControlAnswer { told }.encode_to_vec());
+        self.wanted.push(Wanted::Answer { peer, result });
+    }
+
+    fn duty(&self, duty: Duty) -> String {
+        let named =
+            |names: &[String], at: u32| names.get(at as usize).cloned().unwrap_or_else(|| at.to_string());
+        match duty {
+            Duty::Reports => "reports".into(),
+            Duty::Table(at) => format!("table {}", named(&self.operations, at)),
+            Duty::Drains(at) => format!("drains {}", named(&self.localities, at)),
+            Duty::Range(at) => format!("range {at}"),
+        }
+    }
+
+    /// How things stand, for operators.
+    pub fn standing(&self, now: Nanos) -> serde_json::Value {
+        let (term, last, commit, applied, base) = self.group.log();
+        let seats = self.group.seats();
+        let (state, leader) = match self.group.state() {
+            State::Leads => ("leads", Some(self.group.me())),
+            State::Follows(leader) => ("follows", Some(leader)),
+            State::Alone => ("alone", None),
+            State::Broken => ("broken", None),
+        };
+        let votes = |number| seats.voters.iter().any(|seat| seat.number == number);
+        let learns = |number| seats.learners.iter().any(|seat| seat.number == number);
+        let members = self.group.members().known().iter().map(|(&number, member)| {
+            let standing = match member.standing {
+                Standing::Alive => "alive",
+                Standing::Suspect => "suspect",
+                Standing::Dead => "dead",
+                Standing::Left => "left",
+            };
+            let seat = if votes(number) { "votes" } else if learns(number) { "learns" } else { "none" };
+            json!({
+                "number": number, "address": member.address, "standing": standing, "seat": seat,
+                "incarnation": member.incarnation, "since_s": now.saturating_sub(member.since) / 1_000_000_000,
+                "leads": Some(number) == leader,
+            })
+        });
+        let duties = self.group.duties();
+        let held = duties.duties().iter().map(
+            |(&duty, held)| json!({ "duty": self.duty(duty), "holder": held.holder, "epoch": held.epoch }),
+        );
+        let ranges = duties.ranges().iter().map(|(&range, owned)| {
+            json!({
+                "range": range, "owner": owned.owner, "epoch": owned.epoch,
+                "moves_to": owned.moving.as_ref().map(|moving| moving.to),
+                "cleared_by": owned.moving.as_ref().map(|moving| moving.cleared.clone()),
+            })
+        });
+        let orders = duties.orders().iter().map(|(&order, standing)| {
+            json!({
+                "order": order, "server": standing.order.server, "begun": standing.begun,
+                "does": if standing.order.hold.is_some() { "hold" } else { "drain" },
+                "at_most": standing.order.hold.map(|part| f64::from(part) / 1e6),
+            })
+        });
+        json!({
+            "me": self.group.me(), "state": state, "leader": leader, "term": term,
+            "log": { "last": last, "committed": commit, "carried_out": applied, "begins": base,
+                     "checksum": duties.history() },
+            "localities": self.localities, "may_lease": self.group.may_lease(now), "epoch": self.epoch(),
+            "members": members.collect::<Vec<_>>(), "duties": held.collect::<Vec<_>>(),
+            "ranges": ranges.collect::<Vec<_>>(), "orders": orders.collect::<Vec<_>>(),
+        })
+    }
+
+    /// All that is due.
+    pub fn turn(&mut self, now: Nanos, roster: &Roster) -> Followed {
+        let mut followed = Followed::default();
+        let mut leaving = false;
+        for effect in self.group.turn(now) {
+            match effect {
+                Told::Send { to, address, envelope } => {
+                    let message = envelope.encode_to_vec();
+                    self.wanted.push(Wanted::Tell { to, address, message });
+                }
+                Told::Write(writing) => self.wanted.push(Wanted::Keep(writing)),
+                Told::Answer { ticket, result } => {
+                    if self.asked.remove(&ticket) {
+                        let refused = |refusal: shalereel_group::Refusal| {
+                            Status::new(Code::FailedPrecondition, refusal.to_string())
+                        };
+                        let result =
+                            result.map(|order| json!({ "order": order }).to_string()).map_err(refused);
+                        self.answer(ticket, result);
+                    }
+                }
+                Told::Changed(changed) => {
+                    leaving |= matches!(changed, Changed::Leaving { .. });
+                    let ordered = matches!(changed, Changed::Begun { .. } | Changed::Released { .. });
+                    if ordered {
+                        followed.orders = Some(self.orders());
+                    }
+                    if !matches!(changed, Changed::Stale(_) | Changed::Again | Changed::Cleared { .. }) {
+                        tracing::debug!(?changed, "agreed");
+                    }
+                }
+                Told::Others(rows) => {
+                    let known = |row: &Digest| roster.place(row.server).is_some();
+                    followed.events.extend(rows.into_iter().filter(known).map(Event::Digest));
+                }
+                Told::Remark(text) => {
+                    // A snapshot stands in place of all changes up to it.
+                    if text.starts_with("took over") {
+                        followed.orders = Some(self.orders());
+                    }
+                    self.wanted.push(Wanted::Remark(text));
+                }
+            }
+        }
+        if leaving {
+            self.say_standing(roster);
+        }
+        followed.wanted = std::mem::take(&mut self.wanted);
+        followed
+    }
+
+    fn orders(&self) -> (BTreeSet<u32>, BTreeMap<u32, f64>) {
+        (self.group.duties().drained(), self.group.duties().holds())
+    }
+
+    /// Orders that stand at a start.
+    pub fn begin(&self) -> (BTreeSet<u32>, BTreeMap<u32, f64>) {
+        self.orders()
+    }
+
+    pub fn leave(&mut self, now: Nanos) -> Vec<Wanted> {
+        let told = self.group.leave(now).into_iter().filter_map(|effect| match effect {
+            Told::Send { to, address, envelope } => {
+                Some(Wanted::Tell { to, address, message: envelope.encode_to_vec() })
+            }
+            _ => None,
+        });
+        told.collect()
+    }
+}
+
+fn unreadable(what: &str, error: &prost::DecodeError) -> Status {
+    Status::new(Code::InvalidArgument, format!("not a {what}: {error}"))
+}
+
+/// Lines with addresses; an owner that is listed nowhere any more is not told.
+fn told(lines: &[RangeLine], roster: &Roster) -> Vec<RangeTold> {
+    let line = |line: &RangeLine| {
+        let address = roster.place(line.owner)?.address.to_string();
+        Some(RangeTold { range: line.range, owner: line.owner, epoch: line.epoch, address })
+    };
+    lines.iter().filter_map(line).collect()
+}
--- a/crates/supervisor/src/tables.rs
+++ b/crates/supervisor/src/tables.rs
@@ -34,6 +34,8 @@
     tables: BTreeMap<TableId, Table>,
     levels: BTreeMap<OperationAt, (f64, FurtherTry)>,
     suspended: BTreeSet<ServerId>,
+    /// Operators hold these servers at most at a part of their weight.
+    held: BTreeMap<ServerId, f64>,
     shunned_version: u64,
     last: u64,
     /// Encoded tables by level; operations with one level differ in the name alone.
@@ -99,6 +101,25 @@
         }
     }
 
+    /// Operators hold these servers' weights and no others; gives whom it concerns.
+    pub fn hold(&mut self, held: BTreeMap<ServerId, f64>) -> Reach {
+        if held == self.held {
+            return Reach::Nobody;
+        }
+        self.held = held;
+        self.last += 1;
+        self.tables.values_mut().for_each(|table| table.version = self.last);
+        Reach::Everyone
+    }
+
+    fn bounded(&self, server: ServerId, weight: f64) -> f64 {
+        weight * self.held.get(&server).copied().unwrap_or(1.0)
+    }
+
+    pub fn suspended(&self, server: ServerId) -> bool {
+        self.suspended.contains(&server)
+    }
+
     pub fn lines(&self, table: TableId) -> impl Iterator<Item = (ServerId, f64)> + '_ {
         self.tables
             .get(&table)
@@ -109,7 +130,8 @@
     /// What a server gets by a table; 0 where it is not in it or suspended.
     pub fn weight(&self, table: TableId, server: ServerId) -> f64 {
         let weight = self.tables.get(&table).and_then(|table| table.lines.get(&server)).copied();
-        weight.filter(|_| !self.suspended.contains(&server)).unwrap_or(0.0)
+        let weight = weight.filter(|_| !self.suspended.contains(&server)).unwrap_or(0.0);
+        self.bounded(server, weight)
     }
 
     pub fn lists(&self, table: TableId, server: ServerId) -> bool {
@@ -165,6 +187,7 @@
     fn row(&self, server: ServerId, weight: f64, roster: &Roster) -> Option<Row> {
         let place = roster.place(server)?;
         let health = if self.suspended.contains(&server) { Health::Draining } else { Health::Ready };
+        let weight = self.bounded(server, weight);
         Some(Row { address: place.address, zone: place.zone.clone(), health, weight, facts: None })
     }
 
--- a/crates/xds/src/stream.rs
+++ b/crates/xds/src/stream.rs
@@ -51,6 +51,8 @@
     names: BTreeSet<String>,
     all: bool,
     unanswered: VecDeque<u64>,
+    /// Version that it said to hold when it opened the stream.
+    brought: String,
 }
 
 /// The serving side of one stream.
@@ -74,16 +76,19 @@
 
     /// Takes one message. Errors end the stream.
     pub fn hear(&mut self, message: &[u8]) -> Result<Vec<Asked>, Status> {
-        let (node, type_url, nonce, error, subscribe, unsubscribe) = match self.variant {
+        let (node, type_url, nonce, error, subscribe, unsubscribe, brought) = match self.variant {
             Variant::StateOfTheWorld => {
                 let request: DiscoveryRequest = decoded(message, "DiscoveryRequest")?;
                 let names = request.resource_names;
-                (request.node, request.type_url, request.response_nonce, request.error_detail, names, None)
+                let (node, url, nonce) = (request.node, request.type_url, request.response_nonce);
+                (node, url, nonce, request.error_detail, names, None, request.version_info)
             }
             Variant::Incremental => {
                 let request: DeltaDiscoveryRequest = decoded(message, "DeltaDiscoveryRequest")?;
                 let (on, off) = (request.resource_names_subscribe, request.resource_names_unsubscribe);
-                (request.node, request.type_url, request.response_nonce, request.error_detail, on, Some(off))
+                let (node, url, nonce) = (request.node, request.type_url, request.response_nonce);
+                let brought = request.initial_resource_versions.into_values().max().unwrap_or_default();
+                (node, url, nonce, request.error_detail, on, Some(off), brought)
             }
         };
         let mut asked = Vec::new();
@@ -101,6 +106,9 @@
         }
         let first = !self.wanted.contains_key(&type_url);
         let wanted = self.wanted.entry(type_url.clone()).or_default();
+        if first {
+            wanted.brought = brought;
+        }
         if !nonce.is_empty() {
             let Some(nonce) = nonce_number(&nonce).filter(|nonce| wanted.unanswered.contains(nonce)) else {
                 // From before a reconnect, or forgotten: it says nothing about what stands now.
@@ -152,6 +160,11 @@
         self.wanted.get(type_url).is_some_and(|wanted| wanted.all || wanted.names.contains(name))
     }
 
+    /// The version that the client held of a type when it opened the stream (incremental: the highest by text).
+    pub fn brought(&self, type_url: &str) -> &str {
+        self.wanted.get(type_url).map_or("", |wanted| wanted.brought.as_str())
+    }
+
     /// A response with this nonce is on its way. Nonces grow from one to the next.
     pub fn expect(&mut self, type_url: &str, nonce: u64) {
         let wanted = self.wanted.entry(type_url.to_owned()).or_default();
