Leave range lines of drained owners out at once; give the module only losses of others

Change: lines of owners that drain or are gone are left out by each supervisor alone and pushed at once; of others' reports the module is given losses alone, at servers that lose most of their tries (crates/supervisor/src/evidence.rs).

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod daemon_command;
 mod drill_command;
 mod group_command;
+mod group_measure;
 mod measure_command;
 
 #[derive(Parser)]
@@ -94,6 +95,17 @@
         #[arg(long, default_value_t = 10)]
         rounds: u32,
     },
+    /// A group of supervisors: from the death of its leader to the next one's tables, what members say to one
+    /// another, and the log beside bare writes.
+    Group {
+        /// Controllers.
+        #[arg(default_values_t = [3, 5, 9])]
+        sizes: Vec<u16>,
+        #[arg(long, default_value_t = 20)]
+        rounds: u32,
+        #[arg(long, default_value = "drills/shared.toml")]
+        day: PathBuf,
+    },
     /// Load reports a second that one supervisor takes.
     Reports {
         #[arg(default_value = "120x40")]
@@ -117,6 +129,7 @@
             let result = match measure {
                 Measure::Publish { sizes, rounds, json } => measure_command::publish(&sizes, rounds, json),
                 Measure::Advice { members, rounds } => measure_command::advice(&members, rounds),
+                Measure::Group { sizes, rounds, day } => group_measure::group(&sizes, rounds, &day),
                 Measure::Reports { size, seconds } => measure_command::reports(size, seconds),
             };
             result.map_or_else(failed, |()| ExitCode::SUCCESS)
--- a/crates/supervisor/src/core.rs
+++ b/crates/supervisor/src/core.rs
@@ -171,6 +171,8 @@
     reports: Reports,
     advice: Advice,
     shared_with: Option<Shared>,
+    /// The list has changed since the group was told of it.
+    relisted: bool,
     streams: BTreeMap<Peer, Stream>,
     /// Load streams, and the proxy whose first report named it.
     loads: BTreeMap<Peer, Option<(ProxyId, u16)>>,
@@ -200,6 +202,7 @@
             reports: Reports::default(),
             advice: Advice::new(Patience::new(facts).balancer()),
             shared_with: None,
+            relisted: true,
             streams: BTreeMap::new(),
             loads: BTreeMap::new(),
             proxies: BTreeMap::new(),
@@ -241,6 +244,7 @@
     /// Operators' orders as they stand now.
     fn ordered(&mut self, now: Nanos, (drained, held): (BTreeSet<ServerId>, BTreeMap<ServerId, f64>)) {
         self.events.push(Event::Roster(self.roster.order(drained)));
+        self.relisted = true;
         if self.tables.hold(held) == Reach::Everyone {
             for proxy in self.proxies.values_mut().filter(|proxy| !proxy.tables.is_empty()) {
                 proxy.due.get_or_insert((now, Vec::new()));
@@ -250,7 +254,12 @@
 
     /// What the group brought about, and what it is told in turn.
     fn group_turn(&mut self, now: Nanos) {
+        let fits = (self.relisted && self.shared_with.is_some()).then(|| self.fits(now));
         let Some(shared) = &mut self.shared_with else { return };
+        if let Some(fits) = fits {
+            self.relisted = false;
+            shared.relisted(fits, &self.roster);
+        }
         let followed = shared.turn(now, &self.roster);
         self.effects.extend(followed.wanted.into_iter().map(Effect::Group));
         self.events.extend(followed.events);
@@ -264,7 +273,8 @@
         let cold_for = self.deployment.facts.cold_for;
         let fit = |(server, locality, ready): (ServerId, u16, bool)| {
             let warm = !self.roster.started_within(server, now, cold_for);
-            let open = ready && warm && !self.tables.suspended(server);
+            let ready = ready && !self.tables.suspended(server);
+            let open = ready && warm;
             (server, Fit { server, locality: locality.into(), open, listed: ready })
         };
         self.roster.servers().into_iter().map(fit).collect()
@@ -412,6 +422,7 @@
                     word.zone.clone_from(&self.deployment.localities[own]);
                 }
                 let news = self.roster.member(now, &word);
+                self.relisted = true;
                 // A balancer's own members are no news, thousands of them at its start.
                 if word.itself || word.quiesce || !word.there {
                     self.events.push(Event::Roster(news));
@@ -507,6 +518,7 @@
         let news = self.roster.hear(now, list, &mut odd);
         self.effects.extend(odd.into_iter().map(|text| Effect::Odd(format!("the list: {text}; left out"))));
         self.effects.push(Effect::Remember);
+        self.relisted = true;
         self.events.push(Event::Roster(news));
     }
 
--- a/crates/supervisor/src/keeper.rs
+++ b/crates/supervisor/src/keeper.rs
@@ -114,3 +114,67 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::{Duration, Instant};
+
+    use shalereel_group::wire::{Entry, Kept, Record};
+
+    use super::*;
+
+    fn entry(index: u64) -> Record {
+        Record { kept: Some(Kept::Entry(Entry { index, term: 1, command: None, seats: None })) }
+    }
+
+    fn folder(name: &str) -> PathBuf {
+        let folder = std::env::temp_dir().join(format!("shalereel-keeper-{}-{name}", std::process::id()));
+        fs::create_dir_all(&folder).unwrap();
+        folder
+    }
+
+    fn keep(folder: &Path, writings: &[Writing]) -> Option<Recovered> {
+        let (ours, theirs) = UnixStream::pair().unwrap();
+        let (keeper, kept) = Keeper::open(folder, theirs).unwrap();
+        let last = writings.last().map_or(0, |writing| writing.number);
+        writings.iter().for_each(|writing| keeper.keep(writing.clone()));
+        let begun = Instant::now();
+        while last > 0 && keeper.done().is_none_or(|done| done != Ok(last)) {
+            assert!(begun.elapsed() < Duration::from_secs(10));
+            std::thread::yield_now();
+        }
+        drop(ours);
+        kept
+    }
+
+    #[test]
+    fn a_torn_tail_is_cut_and_what_was_synced_is_read_back() {
+        let folder = folder("torn");
+        let append = |number, index| Writing { number, whole: false, records: vec![entry(index)] };
+        assert_eq!(keep(&folder, &[append(1, 1), append(2, 2)]), None);
+        let log = folder.join(LOG);
+        let whole = fs::read(&log).unwrap();
+        let torn = encode(&[entry(3)]);
+        fs::write(&log, [&whole[..], &torn[..torn.len() - 1]].concat()).unwrap();
+        let kept = keep(&folder, &[append(1, 3)]).unwrap();
+        assert_eq!((kept.entries.len(), kept.whole), (2, whole.len()));
+        let again = Writing { number: 1, whole: true, records: vec![entry(7)] };
+        assert_eq!(keep(&folder, &[again]).unwrap().entries.len(), 3);
+        assert_eq!(keep(&folder, &[]).unwrap().entries[0].index, 7);
+        let _ = fs::remove_dir_all(folder);
+    }
+
+    #[test]
+    fn damage_before_whole_batches_is_told_and_nothing_is_lost() {
+        let folder = folder("damaged");
+        let batches: Vec<u8> = (1..4).flat_map(|index| encode(&[entry(index)])).collect();
+        let mut bytes = [&HEAD[..], &batches[..]].concat();
+        bytes[HEAD.len() + 9] ^= 1;
+        fs::write(folder.join(LOG), &bytes).unwrap();
+        let (_, theirs) = UnixStream::pair().unwrap();
+        let error = format!("{:#}", Keeper::open(&folder, theirs).err().unwrap());
+        assert!(error.contains("group.log") && error.contains("damaged at byte 8"), "{error}");
+        assert_eq!(fs::read(folder.join(LOG)).unwrap(), bytes);
+        let _ = fs::remove_dir_all(folder);
+    }
+}
--- a/crates/supervisor/src/lib.rs
+++ b/crates/supervisor/src/lib.rs
@@ -5,6 +5,7 @@
 mod core;
 pub mod daemon;
 mod deployment;
+mod evidence;
 mod keeper;
 mod patience;
 mod reports;
--- a/crates/supervisor/src/shared.rs
+++ b/crates/supervisor/src/shared.rs
@@ -14,6 +14,7 @@
 use shalereel_rpc::{Code, Status};
 
 use crate::core::Peer;
+use crate::evidence::of_others;
 use crate::roster::Roster;
 
 /// What the group wants of the shell.
@@ -63,6 +64,10 @@
     asked: BTreeSet<Peer>,
     /// Highest epoch that a proxy brought along: what is published carries at least that.
     adopted: u64,
+    /// Messages told to members, and their bytes.
+    told: (u64, u64),
+    /// Owners of ranges that nothing may go to, as of the last list.
+    lost: BTreeSet<u32>,
     wanted: Vec<Wanted>,
 }
 
@@ -82,6 +87,8 @@
             tenants: BTreeSet::new(),
             asked: BTreeSet::new(),
             adopted: 0,
+            told: (0, 0),
+            lost: BTreeSet::new(),
             wanted: Vec::new(),
         }
     }
@@ -156,6 +163,18 @@
         Ok(())
     }
 
+    /// The list has changed: forwarders are told at once of owners that drain or are gone.
+    pub fn relisted(&mut self, fits: BTreeMap<u32, Fit>, roster: &Roster) {
+        let owners = self.group.duties().ranges().values().filter_map(|owned| owned.owner);
+        let lost =
+            owners.filter(|owner| !fits.get(owner).is_some_and(|fit| fit.listed)).collect::<BTreeSet<_>>();
+        self.group.servers(fits);
+        if !lost.is_subset(&self.lost) {
+            self.say_standing(roster);
+        }
+        self.lost = lost;
+    }
+
     fn say_standing(&mut self, roster: &Roster) {
         for peer in self.tenants.clone() {
             let (number, lines) = self.group.ranges_standing();
@@ -250,6 +269,7 @@
             "log": { "last": last, "committed": commit, "carried_out": applied, "begins": base,
                      "checksum": duties.history() },
             "localities": self.localities, "may_lease": self.group.may_lease(now), "epoch": self.epoch(),
+            "told": { "messages": self.told.0, "bytes": self.told.1 },
             "members": members.collect::<Vec<_>>(), "duties": held.collect::<Vec<_>>(),
             "ranges": ranges.collect::<Vec<_>>(), "orders": orders.collect::<Vec<_>>(),
         })
@@ -263,6 +283,7 @@
             match effect {
                 Told::Send { to, address, envelope } => {
                     let message = envelope.encode_to_vec();
+                    self.told = (self.told.0 + 1, self.told.1 + message.len() as u64);
                     self.wanted.push(Wanted::Tell { to, address, message });
                 }
                 Told::Write(writing) => self.wanted.push(Wanted::Keep(writing)),
@@ -288,7 +309,7 @@
                 }
                 Told::Others(rows) => {
                     let known = |row: &Digest| roster.place(row.server).is_some();
-                    followed.events.extend(rows.into_iter().filter(known).map(Event::Digest));
+                    followed.events.extend(of_others(rows).filter(known).map(Event::Digest));
                 }
                 Told::Remark(text) => {
                     // A snapshot stands in place of all changes up to it.
@@ -330,9 +351,15 @@
     Status::new(Code::InvalidArgument, format!("not a {what}: {error}"))
 }
 
-/// Lines with addresses; an owner that is listed nowhere any more is not told.
+/// Lines with addresses. Nothing goes to a server that drains or is gone, whatever is agreed: its line is left out,
+/// which takes it from whoever holds it.
 fn told(lines: &[RangeLine], roster: &Roster) -> Vec<RangeTold> {
+    let ready: BTreeSet<u32> =
+        roster.servers().into_iter().filter(|server| server.2).map(|server| server.0).collect();
     let line = |line: &RangeLine| {
+        if !ready.contains(&line.owner) {
+            return None;
+        }
         let address = roster.place(line.owner)?.address.to_string();
         Some(RangeTold { range: line.range, owner: line.owner, epoch: line.epoch, address })
     };
