Find a group that nothing binds by moves that a cut-off member does not hear of

Need: the planted fault was found or not by how long writes were under way at the moment of a move, so the test of it failed on a busy machine.

Change: trouble move_ranges; a member that is cut off hears of no move, and nothing but its lease keeps its forwarders from the former owners.

--- a/crates/cli/tests/shared.rs
+++ b/crates/cli/tests/shared.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use serde_json::Value;
 use shalereel_drill::{order_at, play, standing, Day, Rule, Stage, Verdict};
-use shalereel_group::wire::{Act, Order, Release};
+use shalereel_group::wire::{Act, Order, Release, Seat, SeatChange};
 use shalereel_supervisor::LOG;
 
 const SHARED: &str = "[shared]\nelection_ms = 400.0\ndrift = 0.01\nranges = 6\ntenure_ms = 800.0\n\
@@ -60,9 +60,10 @@
 
 #[test]
 fn a_group_that_nothing_binds_is_found() {
+    // One that is cut off hears of no move: nothing but its lease keeps its forwarders from the former owners.
     let moves = [
-        "at_s = 3.0, for_s = 10.0, kind = \"shared_slow\", factor = 3.0",
-        "at_s = 4.0, for_s = 8.0, kind = \"deploy\", part = 1.0",
+        "at_s = 3.0, for_s = 9.0, kind = \"links_cut\", count = 1",
+        "at_s = 4.5, for_s = 0.0, kind = \"move_ranges\"",
     ];
     // What most ask for goes by key, so that something is in flight whenever a range moves.
     let keyed = |mut day: Day| {
@@ -135,6 +136,56 @@
     let _ = std::fs::remove_dir_all(folder);
 }
 
+/// One that is lost for good is replaced under a new number, and its successor counts towards the majority.
+#[test]
+fn a_controller_is_replaced_by_one_with_a_new_number() {
+    let folder = folder();
+    let program = Path::new(env!("CARGO_BIN_EXE_shalereel"));
+    let day = day("", "length_s = 12.0", &[]);
+    let mut stage = Stage::open(program, &folder, &day).unwrap();
+    let first = leader(&stage);
+    let lost = (first + 1) % 3;
+    stage.kill_supervisor(lost);
+    let free = std::net::TcpListener::bind("127.0.3.9:0").unwrap().local_addr().unwrap();
+    let members: Vec<String> = (0..3).map(|number| stage.address(number).to_string()).collect();
+    let state = folder.join("new").to_string_lossy().into_owned();
+    let text = day.deployment(3, [&free.to_string(), "127.0.4.9:0"], "127.0.0.9:9", &state, &members);
+    let text =
+        text.replace("supervisors = 3", "supervisors = 4").replace("[shared]", "[shared]\njoining = true");
+    let file = folder.join("new.toml");
+    std::fs::write(&file, text).unwrap();
+    let mut new = std::process::Command::new(program)
+        .args(["daemon", "--config", &file.to_string_lossy()])
+        .stdout(std::process::Stdio::null())
+        .spawn()
+        .unwrap();
+    let seat = |number, address: String, out| {
+        let seat = Some(Seat { number, address });
+        order_at(stage.address(first), Act::Seat(SeatChange { seat, out })).unwrap();
+    };
+    seat(3, free.to_string(), false);
+    let has = |told: &Value, number: usize, seat: &str| {
+        let members = told["members"].as_array().into_iter().flatten();
+        members.filter(|member| member["number"] == number && member["seat"] == seat).count() == 1
+    };
+    until(&stage, |_, told| (told["state"] == "leads" && has(told, 3, "votes")).then_some(()));
+    seat(lost as u32, String::new(), true);
+    until(&stage, |_, told| (told["state"] == "leads" && has(told, lost, "none")).then_some(()));
+    // Two of three are left once the first leader is gone too: the new one is needed, and is enough.
+    stage.kill_supervisor(first);
+    let other = 3 - first - lost;
+    let begun = Instant::now();
+    while order_at(stage.address(other), drain(1000)).is_err() {
+        assert!(begun.elapsed() < Duration::from_secs(30), "no order is taken");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert_eq!(standing(free).unwrap()["me"], 3);
+    new.kill().unwrap();
+    new.wait().unwrap();
+    stage.close().unwrap();
+    let _ = std::fs::remove_dir_all(folder);
+}
+
 #[rstest]
 #[case::too_fast("election_ms = 400.0", "election_ms = 1.0", "election_ms")]
 #[case::drifting("drift = 0.01", "drift = 3.0", "drift")]
--- a/crates/drill/src/day.rs
+++ b/crates/drill/src/day.rs
@@ -191,6 +191,7 @@
     LinksOneWay,
     LinksFlap,
     Order,
+    MoveRanges,
     SlowChannel,
     Surge,
 }
@@ -319,6 +320,13 @@
                 let problem = format!("{} is no part", trouble.part);
                 return refuse(line, "trouble.part", problem, "give a number from 0 to 1");
             }
+            use TroubleKind::{LinksCut, LinksFlap, LinksOneWay, MoveRanges, Order};
+            if [LinksCut, LinksFlap, LinksOneWay, MoveRanges, Order].contains(&trouble.kind)
+                && day.shared.is_none()
+            {
+                let problem = format!("{:?} among supervisors that share nothing", trouble.kind);
+                return refuse(line, "trouble.kind", problem, "add a [shared] section");
+            }
             if !trouble.locality.is_empty() && !day.localities.contains(&trouble.locality) {
                 let problem = format!("no locality {:?}", trouble.locality);
                 return refuse(line, "trouble.locality", problem, "name one of `localities`");
--- a/crates/drill/src/play.rs
+++ b/crates/drill/src/play.rs
@@ -7,7 +7,7 @@
 use anyhow::Result;
 use oorandom::Rand64;
 use shalereel::interface::Nanos;
-use shalereel_group::wire::{Act, Order};
+use shalereel_group::wire::{Act, Move, Order};
 use shalereel_reactor::{now, SECOND};
 use shalereel_standins::{read_trace, Command, ListedAs, Seen};
 
@@ -27,6 +27,12 @@
     StartSupervisor(usize),
     StallSupervisor(usize, bool),
     Revive(Vec<u32>),
+    /// An operator gives a key range to a server.
+    Move {
+        number: usize,
+        range: u32,
+        to: u32,
+    },
     /// An operator's order about a server, or its end, at a supervisor.
     Order {
         number: usize,
@@ -285,6 +291,16 @@
                     self.put(to, Action::StallSupervisor(number as usize, false));
                 }
             }
+            MoveRanges => {
+                // Said to every supervisor: those that are cut off refuse it.
+                let ranges = self.day.shared.as_ref().map_or(0, |shared| shared.ranges);
+                for range in 0..ranges {
+                    let at = self.chance.rand_range(0..u64::from(self.day.fleet.servers)) as u32;
+                    for number in 0..usize::from(self.day.supervisors.count) {
+                        self.put(from, Action::Move { number, range, to: 1000 + at });
+                    }
+                }
+            }
             Order => {
                 // Said to one supervisor, withdrawn at another one.
                 let servers = self.servers(trouble);
@@ -343,6 +359,14 @@
         Action::KillSupervisor(number) => stage.kill_supervisor(number),
         Action::StartSupervisor(number) => stage.revive_supervisor(number)?,
         Action::StallSupervisor(number, on) => stage.stall_supervisor(number, on),
+        Action::Move { number, range, to } => {
+            let at = stage.address(number);
+            std::thread::spawn(move || {
+                if let Err(error) = order_at(at, Act::Move(Move { range, to, epoch: 0 })) {
+                    eprintln!("a move at {at}: {error:#}");
+                }
+            });
+        }
         Action::Order { number, server, hold, off } => {
             let at = stage.address(number % stage.supervisors());
             let locality = stage.locality(server);
