--- a/crates/group/src/group.rs
+++ b/crates/group/src/group.rs
@@ -54,6 +54,8 @@
         result: Result<Index, Refusal>,
     },
     Changed(Changed),
+    /// A leader's snapshot stands in place of all changes up to it.
+    Restored,
     /// What all others met of late.
     Others(Vec<Digest>),
     Remark(String),
@@ -451,6 +453,7 @@
             Ok(duties) => {
                 self.duties = duties;
                 self.applied = base.index;
+                self.effects.push(Effect::Restored);
                 self.remark(format!("took over all that was agreed up to entry {}", base.index));
             }
             Err(error) => {
--- a/crates/group/src/sim.rs
+++ b/crates/group/src/sim.rs
@@ -517,7 +517,11 @@
                 }
                 Effect::Changed(Changed::Leaving { .. }) => self.withdraw(node),
                 Effect::Changed(Changed::Given { .. }) => self.tally.moves += 1,
-                Effect::Answer { .. } | Effect::Changed(_) | Effect::Others(_) | Effect::Remark(_) => {}
+                Effect::Answer { .. }
+                | Effect::Changed(_)
+                | Effect::Restored
+                | Effect::Others(_)
+                | Effect::Remark(_) => {}
             }
         }
         if let Some(machine) = self.machines.get_mut(&node) {
--- a/crates/supervisor/src/core.rs
+++ b/crates/supervisor/src/core.rs
@@ -229,7 +229,7 @@
 
     /// It shares its fleet with others from now on.
     pub fn share(&mut self, now: Nanos, shared: Shared) {
-        let orders = shared.begin();
+        let orders = shared.orders();
         self.shared_with = Some(shared);
         if orders != Default::default() {
             self.ordered(now, orders);
--- a/crates/supervisor/src/shared.rs
+++ b/crates/supervisor/src/shared.rs
@@ -311,13 +311,11 @@
                     let known = |row: &Digest| roster.place(row.server).is_some();
                     followed.events.extend(of_others(rows).filter(known).map(Event::Digest));
                 }
-                Told::Remark(text) => {
-                    // A snapshot stands in place of all changes up to it.
-                    if text.starts_with("took over") {
-                        followed.orders = Some(self.orders());
-                    }
-                    self.wanted.push(Wanted::Remark(text));
+                Told::Restored => {
+                    followed.orders = Some(self.orders());
+                    leaving = true;
                 }
+                Told::Remark(text) => self.wanted.push(Wanted::Remark(text)),
             }
         }
         if leaving {
@@ -327,15 +325,11 @@
         followed
     }
 
-    fn orders(&self) -> (BTreeSet<u32>, BTreeMap<u32, f64>) {
+    /// Operators' orders in force: servers drained, and bounds of weights.
+    pub fn orders(&self) -> (BTreeSet<u32>, BTreeMap<u32, f64>) {
         (self.group.duties().drained(), self.group.duties().holds())
     }
 
-    /// Orders that stand at a start.
-    pub fn begin(&self) -> (BTreeSet<u32>, BTreeMap<u32, f64>) {
-        self.orders()
-    }
-
     pub fn leave(&mut self, now: Nanos) -> Vec<Wanted> {
         let told = self.group.leave(now).into_iter().filter_map(|effect| match effect {
             Told::Send { to, address, envelope } => {
