Tell the group of its servers in one place, and drop what nothing calls

Cause: at a report cycle and after a list the same was told by two ways, and only one of them pushed range lines of owners that can no longer be used; a method had no caller.

Measured: the tests of groups on real sockets and of the supervisor pass.

--- a/crates/group/src/group.rs
+++ b/crates/group/src/group.rs
@@ -221,11 +221,6 @@
         self.pace.tenure()
     }
 
-    /// The epoch that the table of an operation carries; 0 before anything was agreed.
-    pub fn table_epoch(&self, operation: u32) -> Epoch {
-        self.duties.held(Duty::Table(operation)).map_or(0, |held| held.epoch)
-    }
-
     /// When [`Group::turn`] is due.
     pub fn next(&self) -> Nanos {
         let cleared = self.landlord.next(&self.pace, &self.duties).unwrap_or(Nanos::MAX);
--- a/crates/group/src/raft.rs
+++ b/crates/group/src/raft.rs
@@ -557,7 +557,7 @@
         }
     }
 
-    /// A message of the log. What comes from later terms than a leader's can be is refused by nobody.
+    /// A message of the log.
     pub(crate) fn heard(&mut self, now: Nanos, from: Node, body: Body) {
         if self.broken {
             return;
--- a/crates/supervisor/src/core.rs
+++ b/crates/supervisor/src/core.rs
@@ -563,10 +563,10 @@
         if now >= self.reported + self.deployment.facts.report_cycle {
             self.reported = now;
             let reports = self.reports.take();
-            let fits = self.shared_with.is_some().then(|| self.fits(now));
-            if let Some((shared, fits)) = self.shared_with.as_mut().zip(fits) {
+            if let Some(shared) = &mut self.shared_with {
                 shared.report(&reports);
-                shared.servers(fits);
+                // Servers warm up and are withdrawn without any word of a list.
+                self.relisted = true;
             }
             self.events.extend(reports);
             let strangers = std::mem::take(&mut self.reports.strangers);
--- a/crates/supervisor/src/shared.rs
+++ b/crates/supervisor/src/shared.rs
@@ -130,10 +130,6 @@
         self.group.report(digests);
     }
 
-    pub fn servers(&mut self, fits: BTreeMap<u32, Fit>) {
-        self.group.servers(fits);
-    }
-
     // Forwarders.
 
     pub fn holds(&mut self, peer: Peer) {
