Run the product as a live supervisor on the platform's protocol: the thinnest whole path

A new package, crates/node, sans I/O: lines of JSON in, the decision module that the simulator drives, pushes out; discovery watched over HTTP/1.1.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -12,6 +12,7 @@
 mod group_measure;
 mod hooks_command;
 mod measure_command;
+mod node_command;
 mod restart_measure;
 mod tables_command;
 mod tables_measure;
@@ -85,6 +86,8 @@
     },
     /// Play groups on a simulated network and check what must always hold. Exit 1: a schedule broke it.
     Rehearse(group_command::RehearseArguments),
+    /// Run a live supervisor on the platform's protocol, as `docs/node.md` describes it.
+    Node(node_command::NodeArguments),
     /// Run a supervisor; the same as `shalereeld`.
     Daemon(daemon_command::DaemonArguments),
     /// Play one stand-in, told by lines of JSON on the input.
@@ -193,6 +196,9 @@
         Command::Expect(arguments) => expect_command::expect(&arguments).unwrap_or_else(failed),
         Command::Hooks(command) => hooks_command::hooks(&command).unwrap_or_else(failed),
         Command::Rehearse(arguments) => group_command::rehearse(&arguments),
+        Command::Node(arguments) => {
+            node_command::node(&arguments).map_or_else(failed, |()| ExitCode::SUCCESS)
+        }
         Command::Daemon(arguments) => daemon_command::daemon(&arguments).unwrap_or_else(failed),
         Command::StandIn { role } => match shalereel_standins::run(&role) {
             Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/cli/src/node_command.rs
@@ -0,0 +1,26 @@
+//! Running a live supervisor on the platform's protocol.
+
+use std::path::PathBuf;
+
+use anyhow::Result;
+use clap::Args;
+use tracing_subscriber::EnvFilter;
+
+#[derive(Args)]
+pub struct NodeArguments {
+    /// The file in which the platform tells a supervisor its addresses, limits and settings.
+    #[arg(long, env = "ROUTER_CONFIG")]
+    config: PathBuf,
+}
+
+/// Serves until SIGTERM.
+pub fn node(arguments: &NodeArguments) -> Result<()> {
+    let filter = EnvFilter::try_from_env("SHALEREEL_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
+    tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .with_target(false)
+        .init();
+    shalereel_node::run(&arguments.config)
+}
--- /dev/null
+++ b/crates/node/src/manners.rs
@@ -0,0 +1,137 @@
+//! Whom to refuse, how long to wait, and what may be held. Decisions, free of I/O and clock; figures are the
+//! platform's own, or ratios to the told ones.
+
+use shalereel::interface::{Nanos, StartupFacts};
+
+use crate::start::Limits;
+
+const SECOND: Nanos = 1_000_000_000;
+
+/// A connection may be closed if it has not joined within this; a little is added for what waited in the kernel.
+const JOIN_WITHIN: Nanos = SECOND;
+const JOIN_MARGIN: Nanos = SECOND / 20;
+/// The platform's longest message, and the most that a party may leave unread.
+const MESSAGE: usize = 1 << 20;
+const UNREAD: usize = 128 << 10;
+/// Whoever has not joined has nothing to say that is longer.
+const STRANGER_MESSAGE: usize = 4 << 10;
+/// Bytes that wait for the end of their message, all connections together, as a part of the memory.
+const HELD_PART: usize = 8;
+/// Descriptors kept from those who dial in, for discovery, probes and the process itself: a part, and at least.
+const RESERVE_PART: u64 = 16;
+const RESERVE_LEAST: u64 = 16;
+/// An empty line comes every 2 s and news count as told after 6 s: silence for as long as two lines and a bit,
+/// then there is time for another watch.
+const WATCH_SILENCE: Nanos = 4 * SECOND + SECOND / 4;
+/// Dialling discovery again: the first pause, and the longest.
+const DIAL_FIRST: Nanos = SECOND / 20;
+const DIAL_MOST: Nanos = SECOND;
+/// A stream that says nothing and answers no mark is held for dead after so many times the longest way there
+/// and back, a report cycle, and the emptying of a full channel.
+const STREAM_SILENCE: Nanos = 4;
+/// Lines in a row that cannot be read before a joined connection is closed.
+const NOISE: u32 = 2;
+/// Spans and times longer than this many of their told measure are none.
+const ABSURD: f64 = 64.0;
+/// A server that is gone is let go after so many times the time in which it could still matter.
+const GONE_FOR: Nanos = 4;
+/// A module that fails again at once begins anew after a pause of so long, doubled each time.
+const ANEW_FIRST: Nanos = SECOND / 4;
+const ANEW_MOST: Nanos = 4 * SECOND;
+
+#[derive(Clone, Debug)]
+pub struct Manners {
+    limits: Limits,
+    cycle: Nanos,
+    round: Nanos,
+    drained: Nanos,
+    longest: Nanos,
+    grace: Nanos,
+}
+
+impl Manners {
+    pub fn new(facts: &StartupFacts, limits: Limits) -> Self {
+        let timeouts = facts.operations.iter().map(|operation| operation.integration_timeout);
+        Manners {
+            limits,
+            cycle: facts.report_cycle.max(1),
+            round: 2 * facts.worst_transit + facts.report_cycle,
+            drained: (facts.backlog / facts.lines_per_s.max(f64::MIN_POSITIVE) * 1e9) as Nanos,
+            longest: timeouts.max().unwrap_or_default().max(1),
+            grace: facts.drain_grace.max(SECOND),
+        }
+    }
+
+    /// Until when a connection made then must have joined.
+    pub fn join_by(&self, opened: Nanos) -> Nanos {
+        opened + JOIN_WITHIN + JOIN_MARGIN
+    }
+
+    /// Connections that may stand at once of those who dial in.
+    pub fn guests(&self) -> usize {
+        let reserve = (self.limits.sockets / RESERVE_PART).max(RESERVE_LEAST);
+        self.limits.sockets.saturating_sub(reserve).max(1) as usize
+    }
+
+    /// Longest message of someone who has joined or not.
+    pub fn message(&self, joined: bool) -> usize {
+        if joined {
+            MESSAGE.min(self.held() / 2)
+        } else {
+            STRANGER_MESSAGE
+        }
+    }
+
+    /// Bytes of unended messages, all connections together.
+    pub fn held(&self) -> usize {
+        (self.limits.memory_mb as usize).max(1) * (1 << 20) / HELD_PART
+    }
+
+    /// Bytes that a peer may leave unread before it is reset.
+    pub fn unread(&self) -> usize {
+        UNREAD
+    }
+
+    /// A peer whose kernel acknowledges nothing for so long is gone.
+    pub fn stream_silence(&self) -> Nanos {
+        STREAM_SILENCE * (self.round + self.drained)
+    }
+
+    pub fn watch_silence(&self) -> Nanos {
+        WATCH_SILENCE
+    }
+
+    /// When discovery is dialled again after so many failures in a row; `chance` lies in 0..1.
+    pub fn dial_again(&self, now: Nanos, failures: u32, chance: f64) -> Nanos {
+        let pause = (DIAL_FIRST << failures.min(16)).min(DIAL_MOST);
+        now + (pause as f64 * (0.5 + 0.5 * chance)) as Nanos
+    }
+
+    /// Is a connection closed after so many lines in a row that cannot be read?
+    pub fn tired_of(&self, noise: u32) -> bool {
+        noise >= NOISE
+    }
+
+    /// Can a report be of such a span?
+    pub fn is_span(&self, ms: f64) -> bool {
+        ms > 0.0 && ms * 1e6 <= ABSURD * (self.cycle as f64).max(SECOND as f64)
+    }
+
+    /// Can an answer have taken so long?
+    pub fn is_time(&self, ms: f64) -> bool {
+        ms >= 0.0 && ms * 1e6 <= ABSURD * self.longest as f64
+    }
+
+    /// Before when a server must have gone to be let go now.
+    pub fn let_go_before(&self, now: Nanos) -> Nanos {
+        now.saturating_sub(GONE_FOR * (self.longest + self.grace))
+    }
+
+    /// When a module that has failed so many times in a row begins anew.
+    pub fn anew_at(&self, now: Nanos, failures: u32) -> Nanos {
+        match failures {
+            0 | 1 => now,
+            more => now + (ANEW_FIRST << (more - 2).min(16)).min(ANEW_MOST),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/names.rs
@@ -0,0 +1,195 @@
+//! The platform's names and the module's numbers: servers get a number when they are first listed and lose it when
+//! they are let go. A number is never given twice.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use shalereel::interface::{Nanos, Readiness, RosterNews, RosterRow, ServerId};
+
+use crate::words::{List, Listed, State};
+
+/// One server as listed last.
+#[derive(Clone, Debug)]
+pub struct Server {
+    pub name: Arc<str>,
+    pub address: Option<SocketAddr>,
+    pub row: RosterRow,
+    started_ms: f64,
+    /// It was not ready before and is again: someone may have shut it out meanwhile.
+    pub returned: bool,
+    /// Not ready since.
+    pub left_at: Option<Nanos>,
+}
+
+#[derive(Debug)]
+pub struct Names {
+    localities: Vec<String>,
+    kinds: Vec<String>,
+    numbers: HashMap<Arc<str>, ServerId>,
+    servers: BTreeMap<ServerId, Server>,
+    last: ServerId,
+    pub version: u64,
+}
+
+/// The two clocks at one moment: the module's, and Unix time.
+#[derive(Clone, Copy, Debug)]
+pub struct Clocks {
+    pub now: Nanos,
+    pub unix_ms: f64,
+}
+
+/// The module's clock runs ahead of the monotonic one by so much, so that starts before this machine's can be told.
+const AHEAD: Nanos = 24 * 3600 * 1_000_000_000;
+
+impl Clocks {
+    /// The module's time.
+    pub fn module(&self) -> Nanos {
+        self.now + AHEAD
+    }
+
+    /// A start told in Unix time, on the module's clock; 0 means long ago.
+    fn started(&self, started_ms: f64) -> Nanos {
+        if started_ms <= 0.0 {
+            return 0;
+        }
+        let age = ((self.unix_ms - started_ms).max(0.0) * 1e6) as Nanos;
+        self.module().saturating_sub(age)
+    }
+}
+
+impl Names {
+    pub fn new(localities: Vec<String>, kinds: Vec<String>) -> Self {
+        Names { localities, kinds, numbers: HashMap::new(), servers: BTreeMap::new(), last: 0, version: 0 }
+    }
+
+    pub fn number(&self, name: &str) -> Option<ServerId> {
+        self.numbers.get(name).copied()
+    }
+
+    pub fn get(&self, server: ServerId) -> Option<&Server> {
+        self.servers.get(&server)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (ServerId, &Server)> {
+        self.servers.iter().map(|(&number, server)| (number, server))
+    }
+
+    pub fn locality(&self, name: &str) -> Option<u16> {
+        self.localities.iter().position(|known| known == name).map(|at| at as u16)
+    }
+
+    /// All that is listed, for a module that begins anew.
+    pub fn rows(&self) -> Vec<RosterRow> {
+        self.servers
+            .values()
+            .filter(|server| server.row.readiness != Readiness::Gone)
+            .map(|s| s.row)
+            .collect()
+    }
+
+    /// Takes a list or its changes in, and tells the module's news and what could not be read. An entry that
+    /// cannot be read leaves the server as it was.
+    pub fn take(&mut self, list: List, clocks: Clocks) -> (RosterNews, Vec<String>) {
+        let mut faults = Vec::new();
+        let mut rows: BTreeMap<ServerId, RosterRow> = BTreeMap::new();
+        for entry in list.servers {
+            // Kept before the entry is read: a whole list must not drop a server whose entry is spoilt.
+            let named = entry.get("id").and_then(|id| id.as_str()).and_then(|id| self.number(id));
+            match serde_json::from_value::<Listed>(entry)
+                .map_err(|error| error.to_string())
+                .and_then(|entry| self.list(entry, clocks))
+            {
+                Ok(row) => drop(rows.insert(row.server, row)),
+                Err(fault) => {
+                    faults.push(fault);
+                    let kept = named.and_then(|number| self.get(number));
+                    rows.extend(kept.filter(|_| list.full).map(|kept| (kept.row.server, kept.row)));
+                }
+            }
+        }
+        self.version = list.version;
+        if list.full {
+            for (number, server) in &mut self.servers {
+                if !rows.contains_key(number) {
+                    server.row.readiness = Readiness::Gone;
+                    server.left_at.get_or_insert(clocks.now);
+                }
+            }
+        }
+        let rows = rows.into_values().collect();
+        (if list.full { RosterNews::Full(rows) } else { RosterNews::Delta(rows) }, faults)
+    }
+
+    fn list(&mut self, entry: Listed, clocks: Clocks) -> Result<RosterRow, String> {
+        let place = |list: &[String], word: &str| list.iter().position(|known| known == word);
+        let Listed { id, .. } = &entry;
+        let locality = place(&self.localities, &entry.zone)
+            .ok_or_else(|| format!("server {id}: unknown zone {:?}", entry.zone))?;
+        let kind = place(&self.kinds, &entry.kind)
+            .ok_or_else(|| format!("server {id}: unknown kind {:?}", entry.kind))?;
+        if !(entry.weight >= 0.0 && entry.weight.is_finite() && entry.started_ms.is_finite()) {
+            return Err(format!("server {id}: weight {} or start {}", entry.weight, entry.started_ms));
+        }
+        let address = entry.addr.parse().ok();
+        let number = match self.number(id) {
+            Some(number) => number,
+            None if entry.state == State::Gone => return Err(format!("server {id}: gone, never listed")),
+            None => {
+                self.last += 1;
+                let name: Arc<str> = Arc::from(id.as_str());
+                self.numbers.insert(name.clone(), self.last);
+                let row = RosterRow { server: self.last, ..RosterRow::default() };
+                let (started_ms, returned) = (f64::NAN, entry.started_ms > 0.0);
+                let server = Server { name, address, row, started_ms, returned, left_at: None };
+                self.servers.insert(self.last, server);
+                self.last
+            }
+        };
+        let server = self.servers.get_mut(&number).ok_or("a number without a server")?;
+        if server.started_ms != entry.started_ms {
+            // Once for each start: a step of the wall clock must not look like another.
+            server.row.ready_at = clocks.started(entry.started_ms);
+            server.returned |= entry.started_ms > 0.0;
+            server.started_ms = entry.started_ms;
+        }
+        let readiness = match entry.state {
+            State::Ready => Readiness::Ready,
+            State::Terminating => Readiness::Draining,
+            State::Gone => Readiness::Gone,
+        };
+        if readiness == Readiness::Ready {
+            server.returned |= server.left_at.take().is_some();
+        } else {
+            server.left_at.get_or_insert(clocks.now);
+        }
+        server.address = address;
+        server.row = RosterRow {
+            server: number,
+            locality: locality as u16,
+            kind: kind as u16,
+            cell: entry.cell,
+            readiness,
+            weight: entry.weight,
+            ready_at: server.row.ready_at,
+        };
+        Ok(server.row)
+    }
+
+    /// Lets go of servers that have been gone since before then and that nobody needs any more.
+    pub fn let_go(&mut self, before: Nanos, needed: impl Fn(ServerId) -> bool) -> usize {
+        let gone = |server: &Server| {
+            server.row.readiness == Readiness::Gone && server.left_at.is_some_and(|at| at < before)
+        };
+        let Names { servers, numbers, .. } = self;
+        let count = servers.len();
+        servers.retain(|&number, server| {
+            let keep = !gone(server) || needed(number);
+            if !keep {
+                numbers.remove(&server.name);
+            }
+            keep
+        });
+        count - servers.len()
+    }
+}
--- /dev/null
+++ b/crates/node/src/shell.rs
@@ -0,0 +1,83 @@
+//! The shell: sockets, signals and clocks round a [`Core`].
+
+use std::path::Path;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, Result};
+use shalereel_reactor::now;
+use shalereel_rpc::{Bounds, ConnId, Hub, Input};
+
+use crate::core::{Core, Effect, Way};
+use crate::manners::Manners;
+use crate::names::Clocks;
+use crate::start::Start;
+
+fn clocks() -> Clocks {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Clocks { now: now(), unix_ms: unix.as_secs_f64() * 1e3 }
+}
+
+/// Serves until SIGTERM. Errors: the file is bad, or the address cannot be served.
+pub fn run(file: &Path) -> Result<()> {
+    let start = Start::read(file)?;
+    let manners = Manners::new(&start.facts, start.limits);
+    let bounds = Bounds {
+        message: manners.message(true),
+        calls: 0,
+        unread: manners.unread(),
+        silence: manners.stream_silence(),
+    };
+    let mut hub: Hub<(), ()> = Hub::new(bounds)?;
+    hub.stop_on_signals()?;
+    hub.reload_on_signal()?;
+    hub.hold_at_most(manners.guests());
+    let listen = start.listen;
+    hub.listen_given(listen, ()).with_context(|| format!("{}: listen = {listen}", file.display()))?;
+    tracing::info!(name = start.name, %listen, discovery = %start.discovery, "started");
+    let place = |panic: &std::panic::PanicHookInfo<'_>| tracing::error!("{panic}");
+    std::panic::set_hook(Box::new(place));
+    let mut core: Core<ConnId> = Core::new(start, clocks());
+    loop {
+        core.turn(clocks());
+        carry_out(&mut core, &mut hub);
+        for input in hub.wait(core.next())? {
+            match input {
+                Input::Opened { conn, .. } => core.opened(conn, now()),
+                Input::Bytes { conn, bytes } => core.bytes(conn, &bytes, clocks()),
+                Input::Closed { conn, why } => core.closed(conn, &why, now()),
+                Input::Reload => match Start::read(file) {
+                    Ok(start) => core.move_discovery(start.discovery, now()),
+                    Err(error) => tracing::warn!("the old settings stay in force: {error}"),
+                },
+                Input::Stop => {
+                    tracing::info!("stopped by a signal");
+                    return Ok(());
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+fn carry_out(core: &mut Core<ConnId>, hub: &mut Hub<(), ()>) {
+    loop {
+        let effects = core.effects();
+        if effects.is_empty() {
+            return;
+        }
+        for effect in effects {
+            match effect {
+                Effect::Write(conn, bytes) => hub.write_shared(conn, bytes),
+                Effect::Close { conn, abrupt } => hub.close(conn, abrupt),
+                Effect::Log(line) => tracing::info!("{line}"),
+                Effect::Dial(way) => {
+                    let address = match way {
+                        Way::Discovery(address) | Way::Probe(_, address) => address,
+                    };
+                    let result = hub.dial_given(address).map_err(|error| error.to_string());
+                    core.dialled(way, result, now());
+                }
+            }
+        }
+    }
+}
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -1,4 +1,5 @@
-//! Readiness, timers and sockets on `epoll`, without a runtime. Addresses outside loopback are refused.
+//! Readiness, timers and sockets on `epoll`, without a runtime. Addresses outside loopback are refused, but for
+//! those that a platform has given.
 //!
 //! A [`Reactor`] tells which tokens are ready. What owns a token is polled as a whole when its socket is ready
 //! or its waker was called, so a socket keeps no waker of its own.
@@ -6,7 +7,7 @@
 mod socket;
 mod timers;
 
-pub use socket::{dial, Listener, Socket};
+pub use socket::{dial, dial_given, Listener, Socket};
 pub use timers::{TimerId, Timers};
 
 use std::io;
@@ -102,9 +103,18 @@
 
 /// Becomes readable at SIGTERM or SIGINT.
 pub fn stop_signals() -> io::Result<UnixStream> {
+    signals(&[signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT])
+}
+
+/// Becomes readable at SIGHUP.
+pub fn reload_signals() -> io::Result<UnixStream> {
+    signals(&[signal_hook::consts::SIGHUP])
+}
+
+fn signals(signals: &[i32]) -> io::Result<UnixStream> {
     let (read, write) = UnixStream::pair()?;
     read.set_nonblocking(true)?;
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+    for &signal in signals {
         signal_hook::low_level::pipe::register(signal, write.try_clone()?)?;
     }
     Ok(read)
--- a/crates/reactor/src/socket.rs
+++ b/crates/reactor/src/socket.rs
@@ -27,6 +27,11 @@
     /// Port 0 lets the kernel choose. Errors: the address is not loopback or is taken.
     pub fn bind(address: SocketAddr) -> io::Result<Self> {
         on_loopback(address)?;
+        Self::bind_given(address)
+    }
+
+    /// The same for an address that a platform has given, wherever it is.
+    pub fn bind_given(address: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
         Ok(Listener(listener))
@@ -55,6 +60,11 @@
 /// Starts a connection; whether it is refused shows at the first read or write.
 pub fn dial(address: SocketAddr) -> io::Result<Socket> {
     on_loopback(address)?;
+    dial_given(address)
+}
+
+/// The same for an address that a platform has given, wherever it is.
+pub fn dial_given(address: SocketAddr) -> io::Result<Socket> {
     let family = match address.ip() {
         IpAddr::V4(_) => AddressFamily::INET,
         IpAddr::V6(_) => AddressFamily::INET6,
--- a/crates/reactor/src/timers.rs
+++ b/crates/reactor/src/timers.rs
@@ -34,6 +34,11 @@
         self.set.keys().next().map(|key| key.0)
     }
 
+    /// The first timer, whether its time has come or not.
+    pub fn pop(&mut self) -> Option<(Nanos, K)> {
+        self.set.pop_first().map(|((at, _), key)| (at, key))
+    }
+
     /// The first timer whose time has come.
     pub fn due(&mut self, now: Nanos) -> Option<K> {
         let first = self.set.first_entry()?;
--- a/crates/rpc/src/hub.rs
+++ b/crates/rpc/src/hub.rs
@@ -7,8 +7,11 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
-use shalereel_reactor::{dial, now, stop_signals, Listener, Nanos, Reactor, Socket, TimerId, Timers, Token};
+use bytes::{Buf, Bytes};
+use shalereel_reactor::{
+    dial, dial_given, now, reload_signals, stop_signals, Listener, Nanos, Reactor, Socket, TimerId, Timers,
+    Token,
+};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::conn::{Bounds, Came, Conn, StreamId};
@@ -61,6 +64,8 @@
     NoMoreLines,
     /// Another thread has something for this one.
     Nudged,
+    /// SIGHUP.
+    Reload,
     Stop,
 }
 
@@ -71,23 +76,50 @@
     Plain(Plain),
 }
 
+/// What waits to be written is shared where many are told the same.
 struct Plain {
     socket: Socket,
-    out: BytesMut,
+    out: VecDeque<Bytes>,
 }
 
 impl Plain {
-    /// Reads what there is and writes what is taken; ready once the connection is over.
-    fn poll(&mut self, cx: &mut Context<'_>, came: &mut Vec<Bytes>, most: usize) -> Poll<String> {
-        while !self.out.is_empty() {
-            match Pin::new(&mut self.socket).poll_write(cx, &self.out) {
-                Poll::Ready(Ok(count)) => self.out.advance(count),
-                Poll::Ready(Err(error)) => return Poll::Ready(error.to_string()),
+    fn new(socket: Socket) -> Self {
+        Plain { socket, out: VecDeque::new() }
+    }
+
+    fn waiting(&self) -> usize {
+        self.out.iter().map(Bytes::len).sum()
+    }
+
+    /// Writes as much as is taken.
+    fn write(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        while let Some(first) = self.out.front_mut() {
+            match Pin::new(&mut self.socket).poll_write(cx, first) {
+                Poll::Ready(Ok(count)) => first.advance(count),
+                Poll::Ready(Err(error)) => return Err(error),
                 Poll::Pending => break,
             }
+            if first.is_empty() {
+                self.out.pop_front();
+            }
         }
-        if self.out.len() > most {
-            return Poll::Ready(format!("{} bytes wait unread", self.out.len()));
+        if self.out.is_empty() {
+            self.out = VecDeque::new();
+        }
+        Ok(())
+    }
+
+    /// Reads what there is and writes what is taken; ready once the connection is over.
+    fn poll(&mut self, cx: &mut Context<'_>, came: &mut Vec<Bytes>, most: usize) -> Poll<String> {
+        let written = self.write(cx);
+        if let Err(error) = written {
+            return Poll::Ready(error.to_string());
+        }
+        let waiting = self.waiting();
+        if waiting > most {
+            // It has left that much unread: nothing of it may linger in the kernel.
+            let _ = self.socket.reset_at_close();
+            return Poll::Ready(format!("{waiting} bytes wait unread"));
         }
         loop {
             let mut piece = [0; 16 * 1024];
@@ -106,7 +138,8 @@
 
 struct Held {
     speech: Speech,
-    handle: Socket,
+    /// Another handle where the protocol's own code owns the socket. Plain ones do with one descriptor.
+    handle: Option<Socket>,
     paused: bool,
 }
 
@@ -120,6 +153,9 @@
     touched: BTreeSet<ConnId>,
     ready: VecDeque<Input<L, K>>,
     signals: Option<(Token, UnixStream)>,
+    reloads: Option<(Token, UnixStream)>,
+    /// Nobody is accepted while so many connections stand.
+    most: usize,
     lines: Option<(Token, io::Stdin, Vec<u8>)>,
     nudges: Option<(Token, UnixStream)>,
     bounds: Bounds,
@@ -130,6 +166,9 @@
     name: L,
     paused: bool,
     plain: bool,
+    /// Someone may wait whom there was no room for, and no readiness will tell of them again: they are accepted
+    /// once fewer connections than this stand.
+    starved: Option<usize>,
 }
 
 impl<L: Clone, K> Hub<L, K> {
@@ -143,6 +182,8 @@
             touched: BTreeSet::new(),
             ready: VecDeque::new(),
             signals: None,
+            reloads: None,
+            most: usize::MAX,
             lines: None,
             nudges: None,
             bounds,
@@ -156,6 +197,19 @@
         Ok(())
     }
 
+    /// SIGHUP comes as [`Input::Reload`].
+    pub fn reload_on_signal(&mut self) -> io::Result<()> {
+        let signals = reload_signals()?;
+        self.reloads = Some((self.reactor.add(&signals)?, signals));
+        Ok(())
+    }
+
+    /// While so many connections stand, nobody is accepted: the kernel keeps them waiting, and descriptors are
+    /// left for what is dialled.
+    pub fn hold_at_most(&mut self, most: usize) {
+        self.most = most;
+    }
+
     /// For another thread: whatever is written there comes as [`Input::Nudged`].
     pub fn nudges(&mut self) -> io::Result<UnixStream> {
         let (ours, theirs) = UnixStream::pair()?;
@@ -176,18 +230,22 @@
 
     /// Serves an address on loopback; gives the one that it has, port included.
     pub fn listen(&mut self, address: SocketAddr, name: L) -> io::Result<(Token, SocketAddr)> {
-        self.open(address, name, false)
+        self.open(Listener::bind(address)?, name, false)
     }
 
     /// The same for a protocol of its own: what comes is [`Input::Bytes`].
     pub fn listen_plain(&mut self, address: SocketAddr, name: L) -> io::Result<(Token, SocketAddr)> {
-        self.open(address, name, true)
+        self.open(Listener::bind(address)?, name, true)
     }
 
-    fn open(&mut self, address: SocketAddr, name: L, plain: bool) -> io::Result<(Token, SocketAddr)> {
-        let listener = Listener::bind(address)?;
+    /// The same at an address that a platform has given, wherever it is.
+    pub fn listen_given(&mut self, address: SocketAddr, name: L) -> io::Result<(Token, SocketAddr)> {
+        self.open(Listener::bind_given(address)?, name, true)
+    }
+
+    fn open(&mut self, listener: Listener, name: L, plain: bool) -> io::Result<(Token, SocketAddr)> {
         let (token, address) = (self.reactor.add(&listener)?, listener.address()?);
-        self.listeners.insert(token, Door { listener, name, paused: false, plain });
+        self.listeners.insert(token, Door { listener, name, paused: false, plain, starved: None });
         Ok((token, address))
     }
 
@@ -209,19 +267,30 @@
     /// Starts a connection. Errors: no descriptor, or not loopback; a refusal comes as [`Input::Closed`].
     pub fn dial(&mut self, address: SocketAddr) -> io::Result<ConnId> {
         let socket = dial(address)?;
-        self.hold(socket, |socket, bounds| Speech::Calls(Box::new(Conn::client(socket, bounds))))
+        self.hold(socket, true, |socket, bounds| Speech::Calls(Box::new(Conn::client(socket, bounds))))
     }
 
     /// The same for a protocol of its own.
     pub fn dial_plain(&mut self, address: SocketAddr) -> io::Result<ConnId> {
         let socket = dial(address)?;
-        self.hold(socket, |socket, _| Speech::Plain(Plain { socket, out: BytesMut::new() }))
+        self.hold(socket, false, |socket, _| Speech::Plain(Plain::new(socket)))
+    }
+
+    /// The same to an address that a platform has given, wherever it is.
+    pub fn dial_given(&mut self, address: SocketAddr) -> io::Result<ConnId> {
+        let socket = dial_given(address)?;
+        self.hold(socket, false, |socket, _| Speech::Plain(Plain::new(socket)))
     }
 
-    fn hold(&mut self, socket: Socket, make: fn(Socket, Bounds) -> Speech) -> io::Result<ConnId> {
+    fn hold(
+        &mut self,
+        socket: Socket,
+        calls: bool,
+        make: fn(Socket, Bounds) -> Speech,
+    ) -> io::Result<ConnId> {
         socket.give_up_after(Duration::from_nanos(self.bounds.silence))?;
         let id = ConnId(self.reactor.add(&socket)?);
-        let handle = socket.handle()?;
+        let handle = if calls { Some(socket.handle()?) } else { None };
         self.conns.insert(id, Held { speech: make(socket, self.bounds), handle, paused: false });
         self.touched.insert(id);
         Ok(id)
@@ -240,7 +309,15 @@
     /// Puts bytes on a plain connection; nothing happens where it is gone.
     pub fn write(&mut self, conn: ConnId, bytes: &[u8]) {
         if let Some(Speech::Plain(plain)) = self.conns.get_mut(&conn).map(|held| &mut held.speech) {
-            plain.out.extend_from_slice(bytes);
+            plain.out.push_back(Bytes::copy_from_slice(bytes));
+            self.touched.insert(conn);
+        }
+    }
+
+    /// The same with bytes that others may be told too.
+    pub fn write_shared(&mut self, conn: ConnId, bytes: Bytes) {
+        if let Some(Speech::Plain(plain)) = self.conns.get_mut(&conn).map(|held| &mut held.speech) {
+            plain.out.push_back(bytes);
             self.touched.insert(conn);
         }
     }
@@ -248,7 +325,7 @@
     /// Bytes of a plain connection that the peer did not take yet.
     pub fn unwritten(&self, conn: ConnId) -> usize {
         match self.conns.get(&conn).map(|held| &held.speech) {
-            Some(Speech::Plain(plain)) => plain.out.len(),
+            Some(Speech::Plain(plain)) => plain.waiting(),
             _ => 0,
         }
     }
@@ -292,13 +369,19 @@
 
     /// Closes at once, with a reset where `abrupt`; no [`Input::Closed`] follows.
     pub fn close(&mut self, conn: ConnId, abrupt: bool) {
-        if let Some(held) = self.conns.remove(&conn) {
-            if abrupt {
-                let _ = held.handle.reset_at_close();
-            } else {
-                let _ = held.handle.shut();
+        let Some(mut held) = self.conns.remove(&conn) else { return };
+        let socket = match (&mut held.speech, &held.handle) {
+            (Speech::Plain(plain), _) => {
+                // A last word goes as far as the kernel takes it.
+                if !abrupt {
+                    let _ = plain.write(&mut Context::from_waker(&self.reactor.waker(conn.0)));
+                }
+                &plain.socket
             }
-        }
+            (Speech::Calls(_), Some(handle)) => handle,
+            (Speech::Calls(_), None) => return,
+        };
+        let _ = if abrupt { socket.reset_at_close() } else { socket.shut() };
     }
 
     /// While paused, nothing is read from it nor written to it.
@@ -323,6 +406,7 @@
             for conn in std::mem::take(&mut self.touched) {
                 self.poll(conn);
             }
+            self.accept_starved();
             let time = now();
             while let Some(key) = self.timers.due(time) {
                 self.ready.push_back(Input::Due(key));
@@ -348,6 +432,13 @@
                 self.ready.push_back(Input::Stop);
             }
         }
+        if let Some((_, stream)) = self.reloads.as_mut().filter(|(signal, _)| *signal == token) {
+            let mut some = false;
+            while stream.read(&mut [0; 8]).is_ok_and(|count| count > 0) {
+                some = true;
+            }
+            self.ready.extend(some.then_some(Input::Reload));
+        }
         if let Some((_, stream)) = self.nudges.as_mut().filter(|(nudged, _)| *nudged == token) {
             let mut some = false;
             while stream.read(&mut [0; 64]).is_ok_and(|count| count > 0) {
@@ -387,15 +478,30 @@
         }
     }
 
+    /// Those who waited for room are accepted once there is some; without any, nothing is tried.
+    fn accept_starved(&mut self) {
+        let count = self.conns.len();
+        let room = |door: &Door<L>| door.starved.is_some_and(|most| count < most);
+        let starved: Vec<Token> =
+            self.listeners.iter().filter(|(_, door)| room(door)).map(|(&token, _)| token).collect();
+        for token in starved {
+            self.accept(token);
+        }
+    }
+
     fn accept(&mut self, token: Token) {
-        while let Some(Door { listener, name, paused: false, plain }) = self.listeners.get(&token) {
-            let (name, plain) = (name.clone(), *plain);
-            match listener.accept() {
+        while let Some(door @ Door { paused: false, .. }) = self.listeners.get_mut(&token) {
+            door.starved = (self.conns.len() >= self.most).then_some(self.most);
+            if door.starved.is_some() {
+                return;
+            }
+            let (name, plain) = (door.name.clone(), door.plain);
+            match door.listener.accept() {
                 Ok(Some(socket)) => {
                     let held = if plain {
-                        self.hold(socket, |socket, _| Speech::Plain(Plain { socket, out: BytesMut::new() }))
+                        self.hold(socket, false, |socket, _| Speech::Plain(Plain::new(socket)))
                     } else {
-                        self.hold(socket, |socket, bounds| {
+                        self.hold(socket, true, |socket, bounds| {
                             Speech::Calls(Box::new(Conn::server(socket, bounds)))
                         })
                     };
@@ -406,7 +512,8 @@
                 Ok(None) => return,
                 Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(error) => {
-                    // Out of descriptors: the rest waits in the kernel until the next one comes.
+                    // Out of descriptors: the rest waits in the kernel until a connection has ended.
+                    door.starved = Some(self.conns.len().max(1));
                     return tracing::warn!(%error, "a connection could not be accepted");
                 }
             }
--- a/crates/standins/src/forwarders.rs
+++ b/crates/standins/src/forwarders.rs
@@ -321,7 +321,7 @@
                     self.weights(id, &bytes);
                 }
             }
-            Input::HalfClosed { .. } | Input::Nudged => {}
+            Input::HalfClosed { .. } | Input::Nudged | Input::Reload => {}
             Input::Ended { conn, stream, status } => self.ended(conn, stream, &status),
             Input::Closed { conn, why } => self.closed(conn, &why),
             Input::Due(Key::Redial(forwarder)) => self.dial(forwarder),
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -59,7 +59,11 @@
                 Input::Closed { conn, .. } => registry.streams.retain(|(of, _), _| *of != conn),
                 Input::Line(line) => registry.command(serde_json::from_str(&line)?),
                 Input::NoMoreLines | Input::Stop => return registry.trace.finish(),
-                Input::Opened { .. } | Input::Bytes { .. } | Input::Due(()) | Input::Nudged => {}
+                Input::Opened { .. }
+                | Input::Bytes { .. }
+                | Input::Due(())
+                | Input::Nudged
+                | Input::Reload => {}
             }
         }
         inputs = registry.hub.wait(None)?;
--- a/crates/standins/src/servers.rs
+++ b/crates/standins/src/servers.rs
@@ -139,7 +139,11 @@
             Input::Due(Key::Shaken(conn)) => self.hub.pause(conn, false),
             Input::Line(line) => self.command(serde_json::from_str(&line)?)?,
             Input::NoMoreLines | Input::Stop => return Ok(false),
-            Input::Message { .. } | Input::HalfClosed { .. } | Input::Bytes { .. } | Input::Nudged => {}
+            Input::Message { .. }
+            | Input::HalfClosed { .. }
+            | Input::Bytes { .. }
+            | Input::Nudged
+            | Input::Reload => {}
         }
         Ok(true)
     }
--- a/crates/supervisor/src/daemon.rs
+++ b/crates/supervisor/src/daemon.rs
@@ -373,6 +373,8 @@
                 }
             }
             Input::Nudged => self.nudged(),
+            // Not asked for: its file is read once.
+            Input::Reload => {}
             Input::Stop => self.stopping = true,
             Input::Opened { conn, at: Front::Sasp } => {
                 self.last_peer += 1;
