--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -195,12 +195,10 @@
                     if on { &mut draft.shut } else { &mut draft.freed }.push(server);
                 }
             }
-            Order::Install { proxy, table, operations } => {
-                if self.joined.contains_key(&proxy) {
-                    let installs = draft.installs.entry(proxy).or_insert_with(|| vec![None; self.operations]);
-                    for at in of(operations, self.operations) {
-                        installs[usize::from(at)] = Some(table);
-                    }
+            Order::Install { proxy, table, operations } if self.joined.contains_key(&proxy) => {
+                let installs = draft.installs.entry(proxy).or_insert_with(|| vec![None; self.operations]);
+                for at in of(operations, self.operations) {
+                    installs[usize::from(at)] = Some(table);
                 }
             }
             Order::Gate { table, operations, amount, further } => {
