Let go of servers that are gone without taking the module for failed

Fault: Streams::apply took a word about a server that Names::let_go had dropped for impossible, while the module told each joiner to shun it; and the new module knew nothing of what waited in the channel (Manners::anew_at, no pause).

Now numbers once given stay known as given, a failed module rests until a part of a full channel has emptied, and the module forgets servers that are gone for a minute. Also a suspended server whose line comes later is shut out again.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -1,7 +1,7 @@
 //! One supervisor, free of sockets and clocks: bytes come in, the module decides, pushes go out.
 
 use std::any::Any;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -531,19 +531,9 @@
             self.drop_message("silent stream");
             self.close(conn, true, "silent, and owes answers", now);
         }
-        let before = self.manners.let_go_before(now);
-        let streams = &self.streams;
-        let mut gone = BTreeSet::new();
-        for (number, server) in self.names.iter() {
-            if server.row.readiness == Readiness::Gone && server.left_at.is_some_and(|at| at < before) {
-                gone.insert(number);
-            }
-        }
-        self.names.let_go(before, |server| streams.names(server));
-        for server in gone {
-            if self.names.get(server).is_none() {
-                self.streams.forget(server);
-            }
+        let (before, streams) = (self.manners.let_go_before(now), &mut self.streams);
+        for server in self.names.let_go(before, |server| streams.names(server)) {
+            streams.forget(server);
         }
         if now.saturating_sub(self.reported) >= 5 * self.facts.report_cycle {
             self.report(now);
@@ -557,12 +547,14 @@
             self.begin_anew(clocks.now);
         }
         let (events, time) = (std::mem::take(&mut self.pending), clocks.module());
+        tracing::debug!(?events, "batch");
         let brain = &mut self.brain;
         let decided = catch_unwind(AssertUnwindSafe(|| brain.decide(time, events)));
         let orders = match decided {
             Ok(orders) => orders,
             Err(panic) => return self.failed(panic_text(panic.as_ref()).to_owned(), clocks.now),
         };
+        tracing::debug!(?orders, "decided");
         match self.streams.take(&orders, &self.names, &self.start.operations) {
             Ok(messages) => {
                 self.failures = 0;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,4 +20,4 @@
 pub use shell::run;
 pub use start::{Start, StartError};
 pub use streams::{Impossible, Streams};
-pub use words::{read, Said, Unread};
+pub use words::{read, List, Said, Unread};
--- a/crates/node/src/manners.rs
+++ b/crates/node/src/manners.rs
@@ -35,9 +35,10 @@
 const ABSURD: f64 = 64.0;
 /// A server that is gone is let go after so many times the time in which it could still matter.
 const GONE_FOR: Nanos = 4;
-/// A module that fails again at once begins anew after a pause of so long, doubled each time.
-const ANEW_FIRST: Nanos = SECOND / 4;
-const ANEW_MOST: Nanos = 4 * SECOND;
+/// A module that has failed knows nothing of what still waits in the channel: it begins anew when this part of a
+/// full one has emptied. Each time that it fails again at once the pause doubles, up to so many times.
+const ANEW_PART: f64 = 0.4;
+const ANEW_MOST: u32 = 3;
 
 #[derive(Clone, Debug)]
 pub struct Manners {
@@ -129,9 +130,6 @@
 
     /// When a module that has failed so many times in a row begins anew.
     pub fn anew_at(&self, now: Nanos, failures: u32) -> Nanos {
-        match failures {
-            0 | 1 => now,
-            more => now + (ANEW_FIRST << (more - 2).min(16)).min(ANEW_MOST),
-        }
+        now + (((ANEW_PART * self.drained as f64) as Nanos) << failures.saturating_sub(1).min(ANEW_MOST))
     }
 }
--- a/crates/node/src/names.rs
+++ b/crates/node/src/names.rs
@@ -67,6 +67,11 @@
         self.numbers.get(name).copied()
     }
 
+    /// Was there ever a server of this number?
+    pub fn was_given(&self, server: ServerId) -> bool {
+        (1..=self.last).contains(&server)
+    }
+
     pub fn get(&self, server: ServerId) -> Option<&Server> {
         self.servers.get(&server)
     }
@@ -176,20 +181,18 @@
         Ok(server.row)
     }
 
-    /// Lets go of servers that have been gone since before then and that nobody needs any more.
-    pub fn let_go(&mut self, before: Nanos, needed: impl Fn(ServerId) -> bool) -> usize {
+    /// Lets go of servers that have been gone since before then and that nobody needs any more, and names them.
+    pub fn let_go(&mut self, before: Nanos, needed: impl Fn(ServerId) -> bool) -> Vec<ServerId> {
         let gone = |server: &Server| {
             server.row.readiness == Readiness::Gone && server.left_at.is_some_and(|at| at < before)
         };
-        let Names { servers, numbers, .. } = self;
-        let count = servers.len();
-        servers.retain(|&number, server| {
-            let keep = !gone(server) || needed(number);
-            if !keep {
-                numbers.remove(&server.name);
+        let found = self.iter().filter(|(number, server)| gone(server) && !needed(*number));
+        let found: Vec<ServerId> = found.map(|(number, _)| number).collect();
+        for number in &found {
+            if let Some(server) = self.servers.remove(number) {
+                self.numbers.remove(&server.name);
             }
-            keep
-        });
-        count - servers.len()
+        }
+        found
     }
 }
--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -35,6 +35,8 @@
     brought: bool,
     /// Servers that it shuts out by our word.
     shut: BTreeSet<ServerId>,
+    /// Servers of which it has our word on this stream, out or back: what it brought along does not count.
+    settled: BTreeSet<ServerId>,
     /// Marks that it has not answered.
     marks: BTreeSet<u64>,
 }
@@ -92,8 +94,8 @@
 
     pub fn join(&mut self, proxy: ProxyId, new: bool) {
         let bound = vec![None; self.operations];
-        let stream = Stream { bound, brought: !new, shut: BTreeSet::new(), marks: BTreeSet::new() };
-        self.joined.insert(proxy, stream);
+        let (shut, settled, marks) = (BTreeSet::new(), BTreeSet::new(), BTreeSet::new());
+        self.joined.insert(proxy, Stream { bound, brought: !new, shut, settled, marks });
     }
 
     pub fn leave(&mut self, proxy: ProxyId) {
@@ -133,6 +135,7 @@
         self.suspended.remove(&server);
         for stream in self.joined.values_mut() {
             stream.shut.remove(&server);
+            stream.settled.remove(&server);
         }
     }
 
@@ -144,6 +147,7 @@
         for stream in self.joined.values_mut() {
             stream.bound.fill(None);
             stream.brought = true;
+            stream.settled.clear();
         }
     }
 
@@ -169,9 +173,11 @@
                 if !(weight >= 0.0 && weight.is_finite()) || table == TableId::MAX {
                     return bad(format!("{order:?}"));
                 }
-                if weight > 0.0 && names.get(server).is_none() {
-                    return bad(format!("{order:?} of a server that is not listed"));
+                if !names.was_given(server) {
+                    return bad(format!("{order:?} of a server that was never listed"));
                 }
+                // One that was let go is named no more.
+                let weight = if names.get(server).is_some() { weight } else { 0.0 };
                 let lines = &mut self.tables.entry(table).or_default().lines;
                 let before = if weight > 0.0 { lines.insert(server, weight) } else { lines.remove(&server) };
                 let touched = draft.lines.entry(table).or_default();
@@ -184,9 +190,10 @@
                 draft.wiped.insert(table);
             }
             Order::Suspend { server, on } => {
-                if on && names.get(server).is_none() {
-                    return bad(format!("{order:?} of a server that is not listed"));
+                if !names.was_given(server) {
+                    return bad(format!("{order:?} of a server that was never listed"));
                 }
+                let on = on && names.get(server).is_some();
                 let changed = if on { self.suspended.insert(server) } else { self.suspended.remove(&server) };
                 // Said again it is for those who joined since.
                 if on || changed {
@@ -196,6 +203,7 @@
                 }
             }
             Order::Install { proxy, table, operations } if self.joined.contains_key(&proxy) => {
+                self.tables.entry(table).or_default();
                 let installs = draft.installs.entry(proxy).or_insert_with(|| vec![None; self.operations]);
                 for at in of(operations, self.operations) {
                     installs[usize::from(at)] = Some(table);
@@ -248,7 +256,6 @@
         let mut encoded: BTreeMap<Content, Bytes> = BTreeMap::new();
         let mut messages = Vec::new();
         for (&proxy, stream) in joined {
-            let first = stream.bound.iter().all(Option::is_none);
             let installs = draft.installs.get(&proxy);
             let mut tellings = vec![Telling::Nothing; stream.bound.len()];
             for (at, bound) in stream.bound.iter_mut().enumerate() {
@@ -268,34 +275,31 @@
                 let tables = stream.bound.iter().flatten().filter_map(|table| tables.get(table));
                 unbound || tables.into_iter().any(|table| table.lines.contains_key(&server))
             };
-            // A table brings along what is shut out of it, and lets back what others had shut out.
-            let whole = tellings.iter().any(|telling| matches!(telling, Telling::Whole(_)));
-            let named: Vec<ServerId> = match whole {
-                true => suspended.iter().chain(&draft.shut).copied().collect(),
-                false => draft.shut.clone(),
-            };
+            // What is shut out stays out of a table, whoever brings its line.
+            let told = tellings.iter().any(|telling| *telling != Telling::Nothing);
             let mut out: Vec<ServerId> = Vec::new();
-            for server in named {
-                if suspended.contains(&server) && holds(server) && stream.shut.insert(server) {
+            for &server in
+                if told { suspended.iter().collect() } else { draft.shut.iter().collect::<Vec<_>>() }
+            {
+                if holds(server) && stream.shut.insert(server) {
                     out.push(server);
                 }
             }
             let mut back: Vec<ServerId> = Vec::new();
-            for &server in &draft.freed {
-                if stream.shut.remove(&server) || (unbound && stream.brought) {
+            let stale = stream.shut.difference(suspended).filter(|_| told).copied();
+            for server in draft.freed.iter().copied().chain(stale.collect::<Vec<_>>()) {
+                if stream.shut.remove(&server) || (unbound && stream.brought && !back.contains(&server)) {
                     back.push(server);
                 }
             }
-            if first && whole && stream.brought {
-                let held = stream.shut.iter().filter(|server| !suspended.contains(server)).copied();
-                let held: BTreeSet<ServerId> = held.chain(returned.iter().copied()).collect();
-                for server in held {
-                    stream.shut.retain(|known| *known != server || suspended.contains(known));
-                    if !suspended.contains(&server) && holds(server) && !back.contains(&server) {
-                        back.push(server);
-                    }
+            // What others had shut out, or we on an earlier stream, is let back once a table of ours holds it.
+            for &server in returned.iter().filter(|_| told && stream.brought) {
+                let known = suspended.contains(&server) || stream.settled.contains(&server);
+                if !known && holds(server) && !back.contains(&server) {
+                    back.push(server);
                 }
             }
+            stream.settled.extend(out.iter().chain(&back));
             let silent = tellings.iter().all(|telling| *telling == Telling::Nothing)
                 && out.is_empty()
                 && back.is_empty();
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -70,6 +70,8 @@
 const LEAST_LEVEL: f64 = 0.1;
 /// Chance of as many losses in a row as make a proxy avoid a server, from which avoidance counts as common.
 const AVOIDED: f64 = 0.01;
+/// A server that is gone is forgotten after so long; whoever joins before is told to shun it where that binds.
+const GONE_KEPT: Nanos = 12 * SCORE_MEMORY;
 /// In a gap in the reports, and for so long after, this part of as many losses keeps cold servers waiting.
 const BLIND_FOR: Nanos = 4 * SCORE_MEMORY;
 const BLIND_PART: f64 = 0.4;
@@ -139,7 +141,11 @@
         for mut row in rows {
             let size = row.weight > 1.0 / SIZE_BOUND && row.weight < SIZE_BOUND;
             row.weight = if size { row.weight } else { 1.0 };
-            self.listed.insert(row.server);
+            if row.readiness == Readiness::Gone {
+                self.listed.remove(&row.server);
+            } else {
+                self.listed.insert(row.server);
+            }
             post.put(Part::Server(row.server), Note::Listed(row));
         }
     }
@@ -167,12 +173,18 @@
                 if started {
                     *self = Server::new(row, now);
                 }
+                let gone = row.readiness == Readiness::Gone && self.row.readiness != Readiness::Gone;
+                self.since = if gone { now } else { self.since };
                 // A drain that was told still binds when the server is gone.
                 let drained = self.row.readiness == Readiness::Draining && row.readiness == Readiness::Gone;
                 self.row =
                     RosterRow { readiness: if drained { self.row.readiness } else { row.readiness }, ..row };
             }
-            Note::Delisted if self.row.readiness == Readiness::Ready => self.row.readiness = Readiness::Gone,
+            Note::Delisted => {
+                let ready = self.row.readiness == Readiness::Ready;
+                self.row.readiness = if ready { Readiness::Gone } else { self.row.readiness };
+                self.since = now;
+            }
             Note::Learned(learned, away) if self.heard == 0 => self.recall(&learned, away, judging.echo, now),
             Note::Digest(digest) => self.hear(&digest, now, post),
             Note::Weigh(picture) => {
@@ -729,6 +741,19 @@
         }
     }
 
+    /// Forgets a server that no table names any more.
+    fn let_go(&mut self, server: ServerId) -> bool {
+        let named = |(table, named): &(TableId, ServerId)| *named == server && *table != SHUNNED;
+        if self.told.iter().any(|(line, weight)| named(line) && *weight > 0.0) {
+            return false;
+        }
+        self.wants.remove(&server);
+        self.dealt.remove(&server);
+        self.told.retain(|line, _| line.1 != server);
+        self.parts.retain(|line| line.1 != server);
+        true
+    }
+
     fn sound(&self) -> Vec<(ServerId, f64)> {
         let sound = self.wants.iter().filter(|(_, want)| want.weight > 0.0 && !want.urgent);
         sound.map(|(&server, want)| (server, want.weight)).collect()
@@ -1030,6 +1055,7 @@
             self.sort(event);
         }
         self.empty_inboxes();
+        self.forget();
         for _ in 0..beats {
             self.post.put(Part::Fleet, Note::Beat(self.servers.keys().copied().collect()));
             self.empty_inboxes();
@@ -1039,6 +1065,20 @@
         std::mem::take(&mut self.post.orders)
     }
 
+    /// Lets go of servers that are gone for good. Guards memory where servers are replaced all day under new ids.
+    fn forget(&mut self) {
+        let Brain { servers, registry, fleet, channel, post, .. } = self;
+        servers.retain(|id, server| {
+            let unlisted = !registry.listed.contains(id);
+            let long = post.now.saturating_sub(server.since.max(server.heard)) > GONE_KEPT;
+            if unlisted && long && channel.let_go(*id) {
+                fleet.standings.remove(id);
+                return false;
+            }
+            true
+        });
+    }
+
     /// Turns an event into a note for the part that it concerns.
     fn sort(&mut self, event: Event) {
         let (part, note) = match event {
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -765,3 +765,21 @@
     brain.decide(now, vec![Event::Digest(digest(3, 9, 0))]);
     assert_eq!(out(&mut brain, now + SECOND), None);
 }
+
+#[rstest]
+fn a_server_gone_for_long_is_forgotten_and_one_still_told_is_not(facts: StartupFacts) {
+    let mut brain = Brain::new(&facts);
+    brain.decide(START, vec![Event::Roster(RosterNews::Full(vec![row(1), row(2), row(3)]))]);
+    brain.channel.told.insert((WHOLE, 3), 1.0);
+    let gone = |server| RosterRow { readiness: Readiness::Gone, ..row(server) };
+    brain.decide(START + 1, vec![Event::Roster(RosterNews::Delta(vec![gone(2), gone(3)]))]);
+    brain.channel.told.insert((WHOLE, 3), 1.0);
+    brain.decide(START + GONE_KEPT, Vec::new());
+    assert_eq!(brain.servers.len(), 3);
+    brain.channel.told.insert((WHOLE, 3), 1.0);
+    brain.decide(START + GONE_KEPT + 2, Vec::new());
+    assert_eq!(brain.servers.keys().copied().collect::<Vec<_>>(), [1, 3]);
+    assert!(!brain.channel.wants.contains_key(&2) && !brain.fleet.standings.contains_key(&2));
+    brain.decide(START + GONE_KEPT + 3, vec![Event::Roster(RosterNews::Delta(vec![row(2)]))]);
+    assert!(brain.servers.contains_key(&2), "listed again it is known again");
+}
