Let cold servers wait for what most warm ones lose, not for what a few do

Fault: Fleet::weights kept all cold servers outside by the share of all lost tries, though they were lost at the three alone; the warm ones, left with all the work, jammed, and the jam kept the cold outside.

Now the median of what warm servers lose must reach the limit too.

--- a/crates/node/src/manners.rs
+++ b/crates/node/src/manners.rs
@@ -19,7 +19,7 @@
 const HELD_PART: usize = 8;
 /// Descriptors kept from those who dial in, for discovery, probes and the process itself: a part, and at least.
 const RESERVE_PART: u64 = 16;
-const RESERVE_LEAST: u64 = 16;
+const RESERVE_LEAST: u64 = 48;
 /// An empty line comes every 2 s and news count as told after 6 s: silence for as long as two lines and a bit,
 /// then there is time for another watch.
 const WATCH_SILENCE: Nanos = 4 * SECOND + SECOND / 4;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -74,6 +74,8 @@
 const AVOIDED: f64 = 0.01;
 /// A server that is gone is forgotten after so long; whoever joins before is told to shun it where that binds.
 const GONE_KEPT: Nanos = 12 * SCORE_MEMORY;
+/// What most warm servers lose now is at most this multiple of what they lost over the score's memory.
+const RISING: f64 = 2.0;
 /// In a gap in the reports, and for so long after, this part of as many losses keeps cold servers waiting.
 const BLIND_FOR: Nanos = 4 * SCORE_MEMORY;
 const BLIND_PART: f64 = 0.4;
@@ -514,9 +516,10 @@
     ///
     /// Guards cold servers against the work that others' withdrawals, damping or death send their way: a cold
     /// one's share never exceeds what it would be if all ready servers were in at full weight, less the part
-    /// by which lost tries come again. When so many are lost, or would be on the few warm ones left, that
+    /// by which lost tries come again. When most warm ones lose so many, or would on the few warm ones left, that
     /// proxies avoid these by themselves, the cold wait outside, while a warm one is in; sooner where what
-    /// is known may be old. It costs capacity whenever losses have another cause.
+    /// is known may be old. It costs capacity whenever losses have another cause. What a few servers lose does
+    /// not count: the cold kept out for it leave the warm with all the work, which then jam.
     fn weights(&mut self, out: &BTreeSet<ServerId>, kept: f64, now: Nanos) {
         let ready = self.standings.values().filter(|s| s.ready());
         let known = ready.map(|s| s.listed).sum::<f64>() / kept;
@@ -537,7 +540,8 @@
             true => self.blind_part,
             false => 1.0,
         };
-        let wait = 1.0 - kept >= self.avoided_from * warm_part * sight && warm_sum > 0.0;
+        let common = RISING * median(warm.iter().map(|s| s.error).collect());
+        let wait = common.min(1.0 - kept) >= self.avoided_from * warm_part * sight && warm_sum > 0.0;
         let most = |s: &Standing| if wait { 0.0 } else { s.cap.map_or(f64::MAX, |cap| cap / known * total) };
         let capped = |s: &Standing| damped(s).min(most(s));
         self.told.extend(cold.iter().map(|s| (s.row.server, capped(s))));
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -324,17 +324,20 @@
 }
 
 #[rstest]
-#[case::avoidance_common(0.5, 8, START, true)]
-#[case::few_warm_left(0.8, 3, START, true)]
-#[case::nothing_heard_since_the_start(1.0, 8, 0, true)]
-#[case::calm(0.95, 8, START, false)]
+#[case::avoidance_common(0.5, 8, 8, START, true)]
+#[case::few_warm_left(0.8, 3, 3, START, true)]
+#[case::nothing_heard_since_the_start(1.0, 8, 8, 0, true)]
+#[case::calm(0.95, 8, 8, START, false)]
+#[case::a_few_lose_all(0.5, 8, 3, START, false)]
 fn cold_servers_wait_while_proxies_avoid_warm_ones(
     #[case] kept: f64,
     #[case] warm: u32,
+    #[case] losing: u32,
     #[case] heard: Nanos,
     #[case] waits: bool,
 ) {
-    let warm = (1..=warm).map(standing);
+    let error = |id| if id <= losing { 1.0 - kept } else { 0.0 };
+    let warm = (1..=warm).map(|id| Standing { error: error(id), ..standing(id) });
     let cold = (20..24).map(|id| Standing { warm: false, cap: Some(0.5), ..standing(id) });
     let mut fleet = Fleet { heard, ..fleet(warm.chain(cold)) };
     fleet.weights(&BTreeSet::new(), kept, START);
@@ -350,7 +353,7 @@
     #[case] gap: u64,
     #[case] waits: bool,
 ) {
-    let warm = (1..=8).map(standing);
+    let warm = (1..=8).map(|id| Standing { error: 0.2, ..standing(id) });
     let cold = Standing { warm: false, cap: Some(0.5), ..standing(20) };
     let mut fleet = Fleet { cycle: SECOND, heard, ..fleet(warm.chain([cold])) };
     for now in [START, START + gap * SECOND] {
@@ -365,7 +368,7 @@
 #[case::most_still_listed(10, false)]
 #[case::most_taken_away(30, true)]
 fn cold_servers_wait_sooner_where_the_list_took_most_away(#[case] usual: u32, #[case] waits: bool) {
-    let warm = (1..=8).map(standing);
+    let warm = (1..=8).map(|id| Standing { error: 0.1, ..standing(id) });
     let cold = Standing { warm: false, cap: Some(0.5), ..standing(40) };
     let mut fleet = fleet(warm.chain([cold]));
     fleet.usual.add(START, SECOND, f64::from(usual));
