--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -405,7 +405,8 @@
                 self.timers.set(now + self.facts.report_cycle, Due::ProbeLate(conn));
             }
             (Way::Probe(server, _), Err(_)) => {
-                let ending = ProbeEnding::Unreachable;
+                // A lack of descriptors of ours says nothing of the server.
+                let ending = ProbeEnding::Other;
                 self.pending.push(Event::Probed { server, ending, took: 0, load: Vec::new() });
             }
         }
@@ -595,7 +596,7 @@
     }
 
     /// The module has failed: its reply is dropped, and another begins when its pause is over.
-    fn failed(&mut self, why: String, now: Nanos) {
+    pub fn failed(&mut self, why: String, now: Nanos) {
         self.failures += 1;
         self.drop_message("failure of the module");
         self.say(now, format!("the module has failed and begins anew: {why}"));
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -264,3 +264,16 @@
     let last = played.log.iter().rev().find(|line| line.contains("servers:")).unwrap();
     assert!(last.contains("11 ready, 1 draining, 0 gone"), "{last}");
 }
+
+#[test]
+fn a_module_that_failed_begins_anew_from_the_list_and_the_joined() {
+    let mut played = Played::new(3);
+    played.open(1, &hello(1));
+    played.pass(2_000);
+    played.core.failed("planted".into(), played.now);
+    let did = played.pass(200);
+    assert!(did.is_empty(), "what may still wait in the channel is given time: {did:?}");
+    let told = written(&played.pass(1_000), 1);
+    assert!(told.contains("\"whole\":true") && told.contains("\"s2\""), "{told}");
+    assert!(played.log.iter().any(|line| line.contains("begins anew: planted")), "{:?}", played.log);
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -40,8 +40,9 @@
 const CREDIT: f64 = 4.0;
 /// Answers that a server's kind stands for when its own time is learned.
 const KIND_CREDIT: f64 = 24.0;
-/// Answers that other servers' reports led us to expect, none of which came: silence (chance: e^-7).
-const SILENCE: f64 = 7.0;
+/// A server owes so many answers, as other servers' reports lead us to expect, that this many sound ones of the
+/// fleet owe as many by chance: silence. Of a large fleet more is needed (30 servers: 5 answers, 600: 8).
+const FALSE_SILENCE: f64 = 0.2;
 /// Answer times are learned over this many score memories, since a capacity changes slower than health.
 const LEARNING: Nanos = 2 * SCORE_MEMORY;
 /// Power of the answer time ratio in the learned factor: below 1, since slow answers are partly waiting.
@@ -233,7 +234,7 @@
                 self.out_since = Some(now.saturating_sub(out_for));
                 self.fault = Some(if learned.silent { Fault::Silence } else { Fault::Score });
                 // So that its first answer shows: it has been expected to speak.
-                self.unanswered = SILENCE;
+                self.unanswered = 1.0 / FALSE_SILENCE;
             }
             None if out_for.is_some() => self.come_back(now),
             None => {}
@@ -295,7 +296,7 @@
         let time_score = ((slower - 1.0) / (CRITICAL_TIME - 1.0)).clamp(0.0, 1.0);
         let goodness = 1.0 - (error_score + time_score) / 2.0;
         let hushed = now.saturating_sub(self.heard.max(self.since)) as f64 > picture.hush;
-        let fault = if self.unanswered > SILENCE && hushed {
+        let fault = if self.unanswered > picture.silence && hushed {
             Some(Fault::Silence)
         } else if picture.general {
             None
@@ -336,7 +337,7 @@
             warm: warm_part >= 1.0,
             out: self.out_since.is_some(),
             fault: self.fault,
-            severity: error_score + time_score + self.unanswered / SILENCE,
+            severity: error_score + time_score + self.unanswered / picture.silence.max(1.0),
             weight: listed * factor(time, &picture, judging.kind_power) * band * self.level.min(warm_part),
             listed,
             cap: (warm_part < 1.0).then_some(listed * warm_part),
@@ -448,6 +449,7 @@
             common_error: median(ready().map(|s| s.error).collect()),
             answered: std::mem::take(&mut self.answered),
             general: self.general,
+            silence: (ready().count().max(1) as f64 / FALSE_SILENCE).ln(),
             hush: self.patience + self.rounds.0.sum / self.rounds.1.sum.max(1.0),
             ..Picture::default()
         };
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -826,3 +826,13 @@
         assert_eq!(told(&orders), at % 5 == 0, "after {at} s");
     }
 }
+
+#[rstest]
+#[case::small(30, 5.0)]
+#[case::large(600, 8.0)]
+fn a_larger_fleet_takes_more_answers_owed_for_silence(#[case] servers: u32, #[case] owed: f64) {
+    let mut post = Post { now: START, ..Post::default() };
+    fleet((1..=servers).map(standing)).ask_all(vec![1], &mut post);
+    let Some((_, Note::Weigh(picture))) = post.next() else { panic!("no picture") };
+    assert_eq!(picture.silence.round(), owed);
+}
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -81,6 +81,8 @@
     pub(crate) general: bool,
     /// Answers in this batch's reports, all servers together.
     pub(crate) answered: f64,
+    /// Answers owed that are silence.
+    pub(crate) silence: f64,
     /// A sound server may go unheard for so long: a round of the reports and a late answer.
     pub(crate) hush: f64,
     /// This server's part of all weight told to proxies.
