Keep the live supervisor's spans and its bound on log lines with its manners

Read over the whole change: how often is swept and reported, how long a probe may take and how many lines are logged stood in the core, among what only carries decisions out.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -83,9 +83,6 @@
     Sweep,
 }
 
-/// Lines of log in a second; what is over is counted and said.
-const LOG_LINES: u32 = 40;
-
 pub struct Core<C> {
     start: Start,
     manners: Manners,
@@ -161,7 +158,7 @@
             }
         }
         core.timers.set(clocks.now, Due::Dial);
-        core.timers.set(clocks.now + core.facts.report_cycle, Due::Sweep);
+        core.timers.set(core.manners.sweep_at(clocks.now), Due::Sweep);
         core
     }
 
@@ -402,7 +399,7 @@
                 let path = if self.start.columns.is_empty() { "/-/healthy" } else { "/-/load" };
                 let text = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
                 self.effects.push(Effect::Write(conn, text.into_bytes().into()));
-                self.timers.set(now + self.facts.report_cycle, Due::ProbeLate(conn));
+                self.timers.set(self.manners.probed_by(now), Due::ProbeLate(conn));
             }
             (Way::Probe(server, _), Err(_)) => {
                 // A lack of descriptors of ours says nothing of the server.
@@ -511,7 +508,7 @@
     }
 
     fn sweep(&mut self, now: Nanos) {
-        self.timers.set(now + self.facts.report_cycle / 4, Due::Sweep);
+        self.timers.set(self.manners.sweep_at(now), Due::Sweep);
         if let Some(conn) = self.watch {
             let heard = self.conns.get(&conn).map_or(now, |held| held.heard);
             if now.saturating_sub(heard) > self.manners.watch_silence() {
@@ -536,7 +533,7 @@
         for server in self.names.let_go(before, |server| streams.names(server)) {
             streams.forget(server);
         }
-        if now.saturating_sub(self.reported) >= 5 * self.facts.report_cycle {
+        if now >= self.manners.report_at(self.reported) {
             self.report(now);
         }
     }
@@ -679,18 +676,19 @@
     /// A line of log, unless there were too many in this second.
     fn say(&mut self, now: Nanos, line: String) {
         let (since, said, left_out) = self.log;
-        if now.saturating_sub(since) >= 1_000_000_000 {
+        let (span, most) = self.manners.log();
+        if now.saturating_sub(since) >= span {
             if left_out > 0 {
                 self.effects.push(Effect::Log(format!("{left_out} lines left out")));
             }
-            self.log = (now, 0, 0);
-        }
-        if said < LOG_LINES || now.saturating_sub(since) >= 1_000_000_000 {
-            self.log.1 += 1;
-            self.effects.push(Effect::Log(line));
-        } else {
+            self.log = (now, 1, 0);
+        } else if said >= most {
             self.log.2 += 1;
+            return;
+        } else {
+            self.log.1 += 1;
         }
+        self.effects.push(Effect::Log(line));
     }
 }
 
--- a/crates/node/src/manners.rs
+++ b/crates/node/src/manners.rs
@@ -40,6 +40,12 @@
 const ANEW_PART: f64 = 0.4;
 const ANEW_MOST: u32 = 3;
 
+/// Lines of log in a second; what is over is counted and said. How things stand is said every so many cycles.
+const LOG_LINES: u32 = 40;
+const REPORT_CYCLES: Nanos = 5;
+/// What is silent or can be let go is looked for so many times in a report cycle.
+const SWEEPS: Nanos = 4;
+
 #[derive(Clone, Debug)]
 pub struct Manners {
     limits: Limits,
@@ -113,6 +119,26 @@
         noise >= NOISE
     }
 
+    /// Until when a probe may be answered.
+    pub fn probed_by(&self, sent: Nanos) -> Nanos {
+        sent + self.cycle
+    }
+
+    /// When the next look for what is silent or can be let go is due.
+    pub fn sweep_at(&self, now: Nanos) -> Nanos {
+        now + self.cycle / SWEEPS
+    }
+
+    /// When it is to be said again how things stand.
+    pub fn report_at(&self, said: Nanos) -> Nanos {
+        said + REPORT_CYCLES * self.cycle
+    }
+
+    /// So many lines of log in such a span.
+    pub fn log(&self) -> (Nanos, u32) {
+        (SECOND, LOG_LINES)
+    }
+
     /// Can a report be of such a span?
     pub fn is_span(&self, ms: f64) -> bool {
         ms > 0.0 && ms * 1e6 <= ABSURD * (self.cycle as f64).max(SECOND as f64)
