Take ENOTCONN on a connection that is being made for no end: discovery is heard in step

At fault: Socket::poll_read/poll_write in crates/reactor/src/socket.rs, polled at once after the dial, took ENOTCONN for an end. Linux itself answers EAGAIN then, POSIX allows ENOTCONN.

--- a/crates/reactor/src/socket.rs
+++ b/crates/reactor/src/socket.rs
@@ -72,7 +72,7 @@
     let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
     let fd = net::socket_with(family, SocketType::STREAM, flags, None)?;
     match net::connect(&fd, &address) {
-        Ok(()) | Err(rustix::io::Errno::INPROGRESS) => Socket::new(TcpStream::from(fd)),
+        Ok(()) | Err(rustix::io::Errno::INPROGRESS) => Socket::connecting(TcpStream::from(fd)),
         Err(error) => Err(error.into()),
     }
 }
@@ -82,13 +82,21 @@
 pub struct Socket {
     stream: TcpStream,
     turn: usize,
+    /// Dialled, and nothing was read or written yet.
+    connecting: bool,
 }
 
 impl Socket {
     fn new(stream: TcpStream) -> io::Result<Self> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
-        Ok(Socket { stream, turn: TURN })
+        Ok(Socket { stream, turn: TURN, connecting: false })
+    }
+
+    /// One whose connection is being made. Linux answers EAGAIN until it stands; POSIX allows ENOTCONN, which
+    /// is no end then: readiness follows.
+    pub fn connecting(stream: TcpStream) -> io::Result<Self> {
+        Ok(Socket { connecting: true, ..Socket::new(stream)? })
     }
 
     /// Closes with a reset instead of an orderly end, once dropped.
@@ -103,7 +111,7 @@
 
     /// Another handle on the same socket, for the reactor and for [`Socket::reset_at_close`].
     pub fn handle(&self) -> io::Result<Socket> {
-        Ok(Socket { stream: self.stream.try_clone()?, turn: TURN })
+        Ok(Socket { stream: self.stream.try_clone()?, turn: TURN, connecting: self.connecting })
     }
 
     /// Ends both directions at once, whoever else holds a handle.
@@ -118,10 +126,16 @@
     }
 }
 
-fn polled<T>(result: io::Result<T>) -> Poll<io::Result<T>> {
-    match result {
-        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Poll::Pending,
-        other => Poll::Ready(other),
+impl Socket {
+    fn polled<T>(&mut self, result: io::Result<T>) -> Poll<io::Result<T>> {
+        match result {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Poll::Pending,
+            Err(error) if self.connecting && error.kind() == io::ErrorKind::NotConnected => Poll::Pending,
+            other => {
+                self.connecting = false;
+                Poll::Ready(other)
+            }
+        }
     }
 }
 
@@ -136,7 +150,8 @@
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
-        match polled(self.stream.read(buf.initialize_unfilled())) {
+        let read = self.stream.read(buf.initialize_unfilled());
+        match self.polled(read) {
             Poll::Ready(Ok(count)) => {
                 buf.advance(count);
                 self.turn = self.turn.saturating_sub(count);
@@ -153,7 +168,8 @@
 
 impl AsyncWrite for Socket {
     fn poll_write(mut self: Pin<&mut Self>, _: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        polled(self.stream.write(buf))
+        let written = self.stream.write(buf);
+        self.polled(written)
     }
 
     fn poll_write_vectored(
@@ -161,7 +177,8 @@
         _: &mut Context<'_>,
         pieces: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        polled(self.stream.write_vectored(pieces))
+        let written = self.stream.write_vectored(pieces);
+        self.polled(written)
     }
 
     fn is_write_vectored(&self) -> bool {
