Account exactly for unanswered lines; let joiners and changes take turns in the channel

Followed by id: proxy 74 joined n4 at 12.4 s, n4 stopped at 16.1 s, it 'joined, holding what it was told' at n3 at 19.061; n3 says '57 proxies joined, 37 with tables' from 19.9 to 29.9 s. With the orders logged: between 18.0 and 18.34 s ten joiners made it order the same 80 Suspends ten times, then nothing at all until 32.175 s, which is 18.32 s and the span after which unanswered lines are taken for lost. Ruled out: discovery (versions 9 to 15 heard), the streams (each got what was ordered, marks answered in under 1.6 s), processor (0.05 of a core). At fault, src/brain.rs: Channel::changes booked repeats for all that wait though only newcomers get them; changes and joins of one reply each put a mark, of which a message carries one, so the first was never answered; Pacing counted answers without asking whose, so one lost answer held its lines for four times the span of the channel. Now a fence knows who has not answered, an answer settles what was sent before (also in crates/node/src/streams.rs, where a lost answer let a silent stream be taken for dead), one reply is one mark, repeats count for newcomers alone. Now nothing is put behind more than empties in twice the longest way, joiners and changes take turns, and a newcomer is warned of drains only when its table cannot be there in half of the grace.

--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -1,7 +1,7 @@
 //! What each stream was last sent, and what the module's orders of one time mean on it: at most one message a
 //! proxy, changes alone. Nothing is decided here.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use bytes::Bytes;
 use shalereel::interface::{FurtherTry, OperationMask, Order, ProxyId, ServerId, TableId};
@@ -37,8 +37,8 @@
     shut: BTreeSet<ServerId>,
     /// Servers of which it has our word on this stream, out or back: what it brought along does not count.
     settled: BTreeSet<ServerId>,
-    /// Marks that it has not answered.
-    marks: BTreeSet<u64>,
+    /// Marks that it has not answered, in the order in which they were sent.
+    marks: VecDeque<u64>,
 }
 
 /// What one operation of one stream is to be told.
@@ -94,7 +94,7 @@
 
     pub fn join(&mut self, proxy: ProxyId, new: bool) {
         let bound = vec![None; self.operations];
-        let (shut, settled, marks) = (BTreeSet::new(), BTreeSet::new(), BTreeSet::new());
+        let (shut, settled, marks) = (BTreeSet::new(), BTreeSet::new(), VecDeque::new());
         self.joined.insert(proxy, Stream { bound, brought: !new, shut, settled, marks });
     }
 
@@ -115,9 +115,13 @@
         self.joined.values().filter(|stream| stream.bound.iter().all(Option::is_some)).count()
     }
 
-    /// Does a proxy owe an answer to this mark? It is settled with this.
+    /// Does a proxy owe an answer to this mark? It is settled with this, and so are those before it: an answer
+    /// tells that all up to its mark is applied, and the answer to an earlier one may have been lost or spoilt.
     pub fn answered(&mut self, proxy: ProxyId, mark: u64) -> bool {
-        self.joined.get_mut(&proxy).is_some_and(|stream| stream.marks.remove(&mark))
+        let Some(stream) = self.joined.get_mut(&proxy) else { return false };
+        let Some(at) = stream.marks.iter().position(|&known| known == mark) else { return false };
+        stream.marks.drain(..=at);
+        true
     }
 
     /// Does it owe any answer?
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -89,6 +89,14 @@
 const ORDINARY_ROOM: f64 = 0.3;
 const JOIN_ROOM: f64 = 0.5;
 const URGENT_ROOM: f64 = 0.9;
+/// Nothing more is put into the channel while more waits there than empties in so many times the longest way.
+const PROMPT: f64 = 2.0;
+/// A newcomer without a table of ours is told what to shun when this part of a drain's grace has passed.
+const WARN_PART: f64 = 0.5;
+/// Joiners' lines for one of changes to others, since without any table more is lost than by an old one; in time
+/// at most this part of a drain's grace.
+const TURN: f64 = 3.0;
+const TURN_PART: f64 = 0.125;
 /// What an earlier instance learned weighs this part of what it did, faded by the time since; its states, a
 /// term or a band, stand only where that is not longer ago than this.
 const RECALLED: f64 = 0.8;
@@ -670,8 +678,8 @@
         self.written = (self.written - self.messages_half * elapsed / self.messages_over as f64).max(0.0);
         // What is not answered yet, less what travels, still waits: so a slow channel shows.
         let (pace, most) = (self.lines_per_ns, SLOWEST * self.room);
-        self.fenced.retain(|_, fence| now.saturating_sub(fence.at) as f64 * pace < most);
-        let open = |fence: &Fence| fence.lines * (1.0 - fence.answers / fence.messages).max(0.0);
+        self.fenced.retain(|_, f| (now.saturating_sub(f.at) as f64) * pace < most && !f.open.is_empty());
+        let open = |fence: &Fence| fence.lines * fence.open.len() as f64 / fence.messages as f64;
         let open = self.fenced.values().map(open).sum::<f64>() - pace * self.transit as f64;
         self.waiting = (self.waiting - elapsed * self.lines_per_ns).max(open).max(0.0);
         self.waiting
@@ -700,7 +708,7 @@
                 };
                 let loads = self.sizes.iter().filter(|_| self.apart).map(load);
                 let table = loads.min_by(|a, b| a.0.total_cmp(&b.0)).map_or(WHOLE, |(_, table)| table);
-                self.members.insert(proxy, Member { came, table, ..Member::default() });
+                self.members.insert(proxy, Member { came, table, joined: post.now, ..Member::default() });
                 // What was ordered before has not reached it.
                 self.told.range_mut((SHUNNED, 0)..).for_each(|(_, told)| *told /= 2.0);
             }
@@ -711,13 +719,16 @@
             }
             Note::Left(proxy) => {
                 self.members.remove(&proxy);
-                self.pacing.fenced.values_mut().for_each(|fence| fence.answers += 1.0);
-            }
-            Note::Confirmed(serial) => {
-                self.pacing.fenced.entry(serial).and_modify(|fence| fence.answers += 1.0);
+                self.pacing.left(proxy);
             }
+            Note::Confirmed(proxy, serial) => self.pacing.confirmed(proxy, serial),
             Note::Flush => {
-                // Whole tables must not take the room that a rule needs.
+                // Whole tables say what to shun, but must not take the room that a rule needs elsewhere.
+                if self.turn > 0.0
+                    || !self.differing(post.now).iter().any(|change| change.rank == 0 && !change.again)
+                {
+                    self.joins(JOIN_ROOM, post);
+                }
                 let part = if self.changes(post) { JOIN_ROOM } else { ORDINARY_ROOM };
                 self.joins(part, post);
             }
@@ -802,11 +813,16 @@
 
     /// Lines whose standing value differs enough, those that keep a rule first, then withdrawals, then by how
     /// much of the work they move.
-    fn differing(&self, strangers: bool) -> Vec<Change> {
+    fn differing(&self, now: Nanos) -> Vec<Change> {
+        // A whole table does as well: until it cannot be there in time, it is waited for.
+        let queue = (self.pacing.waiting / self.pacing.lines_per_ns) as Nanos;
+        let warn = now + queue.min(self.grace);
+        let late = |member: &Member| warn >= member.joined + (WARN_PART * self.grace as f64) as Nanos;
+        let strangers = self.members.values().any(|member| member.bound.is_none() && late(member));
         let mut lines: BTreeSet<(TableId, ServerId)> = self.told.keys().chain(&self.parts).copied().collect();
         lines.extend(self.wants.keys().map(|&server| (WHOLE, server)));
-        let binding = self.wants.iter().filter(|(_, want)| strangers && want.binds);
-        lines.extend(binding.map(|(&server, _)| (SHUNNED, server)));
+        let binds = self.wants.iter().filter(|(_, want)| strangers && want.binds);
+        lines.extend(binds.map(|(&server, _)| (SHUNNED, server)));
         let mut changes: Vec<Change> = Vec::new();
         for (table, server) in lines {
             let told = self.told.get(&(table, server)).copied().unwrap_or_default();
@@ -819,7 +835,8 @@
                 let moved = if want.binds { f64::MAX / (1.0 + f64::from(SHUNNED - table)) } else { moved };
                 let fills = table > WHOLE && weight > told && (told == 0.0 || table == SHUNNED);
                 let rank = if urgent || fills { 0 } else { 1 + u8::from(weight > 0.0) };
-                changes.push(Change { table, server, weight, rank, moved });
+                let again = table == SHUNNED && told > 0.0 && weight > 0.0;
+                changes.push(Change { table, server, weight, rank, moved, again });
             }
         }
         changes.sort_by(|a, b| a.rank.cmp(&b.rank).then(b.moved.total_cmp(&a.moved)));
@@ -834,11 +851,13 @@
     fn changes(&mut self, post: &mut Post) -> bool {
         let now = post.now;
         let mut readers = BTreeMap::new();
+        let mut newcomers = 0.0;
         for member in self.members.values() {
             *readers.entry(member.bound.unwrap_or(SHUNNED)).or_insert(0.0) += 1.0;
+            newcomers += f64::from(u8::from(member.bound.is_none() && !member.warned));
         }
         let strangers = readers.contains_key(&SHUNNED);
-        let mut changes = self.differing(strangers);
+        let mut changes = self.differing(now);
         let urgent = changes.iter().filter(|change| change.rank == 0).count();
         let heads = self.pacing.overhead + 1.0;
         let all_heads = heads * self.members.len() as f64;
@@ -849,36 +868,44 @@
         let ordinary = ordinary.clamp(ORDINARY_ROOM, JOIN_ROOM);
         let waiting = self.pacing.waiting(now);
         let room = |part: f64| part * self.pacing.room - waiting;
-        // Pieces smaller than their own heads are not worth sending.
         let least = self.members.len() as f64 * (heads + heads.min(urgent as f64));
         let bound = readers.keys().any(|&table| table != SHUNNED);
-        let small = bound && room(URGENT_ROOM) < least;
+        // Pieces smaller than their own heads are not worth sending, and joiners have their turn. What would
+        // only wait in the channel waits here, and gathers: it arrives no later, in fewer messages.
+        let theirs = strangers && self.turn > 0.0 && room(JOIN_ROOM) > 0.0;
+        let small = (bound && room(URGENT_ROOM) < least) || waiting > self.pacing.prompt || theirs;
+        // Of what only serves better, no more than goes until the next: what is urgent would stand behind it.
+        let ordinary =
+            ordinary.min((self.pacing.prompt + self.pacing.lines_per_ns * gap as f64) / self.pacing.room);
         // Half of what a limit on messages leaves is for what is urgent.
         let most = self.pacing.messages_half * if urgent > 0 { 1.0 } else { ORDINARY_ROOM };
         if !(urgent > 0 || due) || small || self.pacing.written + 1.0 > most.max(1.0) {
             return urgent == 0;
         }
         let (mut cost, mut touched) = (0.0, BTreeSet::new());
-        let mut take = |table: TableId, part: f64| {
-            let readers = readers.get(&table).copied().unwrap_or_default();
-            let more = readers * if touched.contains(&table) { 1.0 } else { 1.0 + heads };
+        let mut take = |table: TableId, again: bool, part: f64| {
+            let all = readers.get(&table).copied().unwrap_or_default();
+            let readers = if again { newcomers } else { all };
+            let headed = touched.contains(&(table, false)) || touched.contains(&(table, again));
+            let more = readers * if headed { 1.0 } else { 1.0 + heads };
             let fits = readers == 0.0 || cost + more <= room(part);
             if fits {
-                touched.insert(table);
+                touched.insert((table, again));
                 cost += more;
             }
             fits
         };
         // Changes that only serve better wait while joiners still lack the table.
         changes.retain(|change| match change.rank {
-            0 => take(change.table, URGENT_ROOM),
-            rank => due && (rank < 2 || !strangers || !bound) && take(change.table, ordinary),
+            0 => take(change.table, change.again, URGENT_ROOM),
+            rank => due && (rank < 2 || !strangers || !bound) && take(change.table, false, ordinary),
         });
         let used = |member: &Member| [member.table, member.bound.unwrap_or(WHOLE)];
         let tables: BTreeSet<TableId> = self.members.values().flat_map(used).collect();
         let gates = tables.into_iter().flat_map(|table| self.gates.iter().map(move |gate| (table, *gate)));
         let differs = |(table, gate): &(TableId, Gate)| {
-            due && self.gates_told.get(&(*table, gate.operation)) != Some(gate) && take(*table, JOIN_ROOM)
+            due && self.gates_told.get(&(*table, gate.operation)) != Some(gate)
+                && take(*table, false, JOIN_ROOM)
         };
         let gates: Vec<(TableId, Gate)> = gates.filter(differs).collect();
         let sent = changes.iter().filter(|change| change.rank == 0).count();
@@ -898,9 +925,13 @@
             post.orders.push(Order::Gate { table: Some(table), operations, amount, further });
             self.gates_told.insert((table, gate.operation), gate);
         }
-        if cost > 0.0 {
-            let reached = readers.iter().filter(|(table, _)| touched.contains(table)).map(|(_, count)| count);
-            self.pacing.book(cost, reached.sum::<f64>().min(self.members.len() as f64) as usize, post);
+        let reached = self.reached(&touched, SHUNNED);
+        if !reached.is_empty() {
+            self.turn = (TURN * cost).min(TURN_PART * self.grace as f64 * self.pacing.lines_per_ns);
+            self.pacing.book(cost, reached, post);
+        }
+        if sent == urgent && touched.iter().any(|(table, _)| *table == SHUNNED) {
+            self.members.values_mut().for_each(|member| member.warned |= member.bound.is_none());
         }
         sent == urgent
     }
@@ -915,20 +946,22 @@
             self.members.iter_mut().map(|(&proxy, m)| (proxy, m)).collect();
         waiting.retain(|(_, member)| member.bound != Some(member.table) && lines.contains_key(&member.table));
         waiting.sort_by(|(_, a), (_, b)| a.bound.cmp(&b.bound).then(b.came.sum.total_cmp(&a.came.sum)));
-        let room = self.pacing.room * part - self.pacing.waiting(post.now);
-        let (mut cost, mut count) = (0.0, 0);
+        let room = (self.pacing.room * part).min(self.pacing.prompt) - self.pacing.waiting(post.now);
+        let (mut cost, mut reached) = (0.0, BTreeSet::new());
         for (proxy, member) in waiting {
             let table = member.table;
             let more = self.pacing.overhead + 2.0 + lines[&table] + self.gates.len() as f64;
-            if cost + more > room && !(self.pacing.waiting == 0.0 && count == 0) {
+            if cost + more > room && !(self.pacing.waiting == 0.0 && reached.is_empty()) {
                 break;
             }
             post.orders.push(Order::Install { proxy, table, operations: 0 });
             member.bound = Some(table);
-            (cost, count) = (cost + more, count + 1);
+            cost += more;
+            reached.insert(proxy);
         }
-        if count > 0 {
-            self.pacing.book(cost, count, post);
+        if !reached.is_empty() {
+            self.turn -= cost;
+            self.pacing.book(cost, reached, post);
         }
     }
 }
@@ -992,6 +1025,7 @@
                     room: facts.backlog,
                     overhead: facts.message_overhead,
                     transit: facts.mean_transit,
+                    prompt: PROMPT * facts.worst_transit as f64 * facts.lines_per_s / SECOND as f64,
                     messages_half: match facts.messages_max {
                         0 => f64::INFINITY,
                         most => f64::from(most) / 2.0,
@@ -1000,6 +1034,7 @@
                     ..Pacing::default()
                 },
                 gates,
+                grace: facts.drain_grace,
                 ..Channel::default()
             },
             beat: facts.report_cycle.clamp(SECOND / 10, SECOND) / 4,
@@ -1065,7 +1100,7 @@
                 self.post.put(Part::Channel, Note::Came(proxy, total));
                 (Part::Fleet, Note::Intake { operation: operation.into(), total, lost })
             }
-            Event::Confirmed { serial, .. } => (Part::Channel, Note::Confirmed(serial)),
+            Event::Confirmed { proxy, serial, .. } => (Part::Channel, Note::Confirmed(proxy, serial)),
             Event::Fired { ctx: BEAT } => {
                 return self.post.orders.push(Order::Remind { span: self.beat, ctx: BEAT });
             }
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -66,7 +66,7 @@
     Joined(ProxyId, f64),
     Came(ProxyId, f64),
     Left(ProxyId),
-    Confirmed(u64),
+    Confirmed(ProxyId, u64),
     Flush,
 }
 
@@ -140,6 +140,8 @@
     pub(crate) weight: f64,
     pub(crate) rank: u8,
     pub(crate) moved: f64,
+    /// It was told before, and goes to those alone that joined since.
+    pub(crate) again: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -166,15 +168,19 @@
     /// The table that it should use, and the one that it was put on.
     pub(crate) table: TableId,
     pub(crate) bound: Option<TableId>,
+    pub(crate) joined: Nanos,
+    /// It was told all that is to be shunned.
+    pub(crate) warned: bool,
 }
 
-/// Marked messages: when they were ordered, their lines, how many they are and how many were answered.
-#[derive(Clone, Copy, Debug)]
+/// The marked messages of one reply: when they were ordered, their lines, how many they are, and who has not
+/// answered.
+#[derive(Clone, Debug)]
 pub(crate) struct Fence {
     pub(crate) at: Nanos,
     pub(crate) lines: f64,
-    pub(crate) messages: f64,
-    pub(crate) answers: f64,
+    pub(crate) messages: usize,
+    pub(crate) open: BTreeSet<ProxyId>,
 }
 
 /// Figures by which a server judges itself.
--- a/src/state.rs
+++ b/src/state.rs
@@ -86,6 +86,8 @@
     pub(crate) room: f64,
     pub(crate) overhead: f64,
     pub(crate) transit: Nanos,
+    /// Lines that may wait when more is put behind them.
+    pub(crate) prompt: f64,
     pub(crate) waiting: f64,
     pub(crate) at: Nanos,
     pub(crate) serial: u16,
@@ -112,6 +114,9 @@
     pub(crate) gates_told: BTreeMap<(TableId, usize), Gate>,
     pub(crate) flushed: Nanos,
     pub(crate) apart: bool,
+    pub(crate) grace: Nanos,
+    /// Lines that joiners may take before the next changes to others.
+    pub(crate) turn: f64,
     pub(crate) supervisor: f64,
     pub(crate) supervisors: f64,
     pub(crate) proxies: f64,
@@ -154,15 +159,35 @@
 }
 
 impl Pacing {
-    /// Books what was ordered, and has the messages answered.
-    pub(crate) fn book(&mut self, lines: f64, messages: usize, post: &mut Post) {
+    /// Books what was ordered, and has the messages answered. All orders of one reply to a proxy are one message.
+    pub(crate) fn book(&mut self, lines: f64, reached: BTreeSet<ProxyId>, post: &mut Post) {
+        self.waiting += lines;
+        if let Some(fence) = self.fenced.get_mut(&self.serial.into()).filter(|fence| fence.at == post.now) {
+            fence.open.extend(reached);
+            (fence.lines, fence.messages) = (fence.lines + lines, fence.open.len());
+            return;
+        }
         self.serial = self.serial.wrapping_add(1);
-        let fence = Fence { at: post.now, lines, messages: messages.max(1) as f64, answers: 0.0 };
+        let fence = Fence { at: post.now, lines, messages: reached.len(), open: reached };
         self.fenced.insert(self.serial.into(), fence);
-        self.waiting += lines;
         self.written += 1.0;
         post.orders.push(Order::FencePost { serial: self.serial, everyone: false });
     }
+
+    /// A proxy has applied what was marked, and all that was sent to it before.
+    pub(crate) fn confirmed(&mut self, proxy: ProxyId, serial: u64) {
+        let Some(at) = self.fenced.get(&serial).map(|fence| fence.at) else { return };
+        for fence in self.fenced.values_mut().filter(|fence| fence.at <= at) {
+            fence.open.remove(&proxy);
+        }
+    }
+
+    /// Nothing that it was sent waits any more.
+    pub(crate) fn left(&mut self, proxy: ProxyId) {
+        for fence in self.fenced.values_mut() {
+            fence.open.remove(&proxy);
+        }
+    }
 }
 
 impl Channel {
@@ -179,6 +204,15 @@
         true
     }
 
+    /// Whom lines of these tables reach; those marked were told before, and go to newcomers alone.
+    pub(crate) fn reached(&self, touched: &BTreeSet<(TableId, bool)>, shunned: TableId) -> BTreeSet<ProxyId> {
+        let reached = |member: &Member| {
+            let table = member.bound.unwrap_or(shunned);
+            touched.contains(&(table, false)) || (touched.contains(&(table, true)) && !member.warned)
+        };
+        self.members.iter().filter(|(_, member)| reached(member)).map(|(&proxy, _)| proxy).collect()
+    }
+
     /// Servers that stay in and are warm, with their weights.
     pub(crate) fn sound(&self) -> Vec<(ServerId, f64)> {
         let sound = self.wants.iter().filter(|(_, want)| want.weight > 0.0 && !want.urgent);
