Book what proxies are told; mend what the watch, signals and half-closed peers lost

Messages leave one after another, so an answer now settles all of before, late answers show a slow channel, and rule lines leave room for what travels. - whole tables of those that brought orders let back up to 60 servers each, unbooked (Channel::joins). Ruled out: heads and marks (told lines equal booked ones on quiet stretches), discovery, processor.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -110,7 +110,7 @@
     refused: BTreeMap<&'static str, u64>,
     log: (Nanos, u32, u32),
     reported: Nanos,
-    pushes: (u64, u64),
+    bytes_told: u64,
 }
 
 impl<C: Copy + Ord + Debug> Core<C> {
@@ -138,7 +138,7 @@
             refused: BTreeMap::new(),
             log: (clocks.now, 0, 0),
             reported: clocks.now,
-            pushes: (0, 0),
+            bytes_told: 0,
             facts,
             start,
         };
@@ -248,8 +248,8 @@
         held.heard = clocks.now;
         match &mut held.role {
             Role::Discovery(watch) => {
-                let lists = watch.take(bytes, self.manners.message(true), clocks.now);
-                return self.listed(conn, lists, clocks);
+                let (lists, end) = watch.take(bytes, self.manners.held(), clocks.now);
+                return self.listed(conn, lists, end, clocks);
             }
             Role::Probe { server, answer, body, sent } => {
                 let taken = answer.take(bytes, body);
@@ -419,28 +419,29 @@
         self.pending.push(Event::Probed { server, ending, took, load });
     }
 
-    fn listed(&mut self, conn: C, lists: Result<Vec<crate::words::List>, String>, clocks: Clocks) {
-        match lists {
-            Ok(lists) => {
-                for list in lists {
-                    // Told again after a new dial: a change that we have.
-                    if !list.full && list.version < self.names.version {
-                        self.drop_message("old list");
-                        continue;
-                    }
-                    self.dial_failures = 0;
-                    self.whole = false;
-                    let (version, full, count) = (list.version, list.full, list.servers.len());
-                    let (news, faults) = self.names.take(list, clocks);
-                    self.faults(faults, clocks.now);
-                    if full || count > 0 {
-                        let kind = if full { "whole" } else { "changes" };
-                        self.say(clocks.now, format!("list version {version}, {kind}: {count} servers"));
-                        self.pending.push(Event::Roster(news));
-                    }
-                }
+    /// Takes in the lists that came, then the end of the watch, if it came with them.
+    fn listed(&mut self, conn: C, lists: Vec<crate::words::List>, end: Option<String>, clocks: Clocks) {
+        for list in lists {
+            if !list.full && list.version < self.names.version {
+                // Another agent, or the same begun anew, counts otherwise: what it has told since is not known,
+                // and would be missing for good. The whole list settles it.
+                self.drop_message("old list");
+                self.whole = true;
+                return self.close(conn, true, "versions go back: the whole list is asked for", clocks.now);
             }
-            Err(why) => self.close(conn, true, &why, clocks.now),
+            self.dial_failures = 0;
+            self.whole = false;
+            let (version, full, count) = (list.version, list.full, list.servers.len());
+            let (news, faults) = self.names.take(list, clocks);
+            self.faults(faults, clocks.now);
+            if full || count > 0 {
+                let kind = if full { "whole" } else { "changes" };
+                self.say(clocks.now, format!("list version {version}, {kind}: {count} servers"));
+                self.pending.push(Event::Roster(news));
+            }
+        }
+        if let Some(why) = end {
+            self.close(conn, true, &why, clocks.now);
         }
     }
 
@@ -556,9 +557,10 @@
         match self.streams.take(&orders, &self.names, &self.start.operations) {
             Ok(messages) => {
                 self.failures = 0;
+                tracing::debug!(told = ?self.streams.told, "told");
                 for (proxy, bytes) in messages {
                     if let Some(&conn) = self.by_proxy.get(&proxy) {
-                        self.pushes = (self.pushes.0 + 1, self.pushes.1 + bytes.len() as u64);
+                        self.bytes_told += bytes.len() as u64;
                         self.effects.push(Effect::Write(conn, bytes));
                     }
                 }
@@ -652,12 +654,13 @@
     /// One line on how things stand, and one on what the module believes of servers that are not well.
     fn report(&mut self, now: Nanos) {
         self.reported = now;
+        let told = self.streams.told;
         let count = |readiness| self.names.iter().filter(|(_, s)| s.row.readiness == readiness).count();
         let strangers = self.conns.values().filter(|conn| matches!(conn.role, Role::Stranger)).count();
         let refused: Vec<String> = self.refused.iter().map(|(why, count)| format!("{why} {count}")).collect();
         let line = format!(
             "{} proxies joined, {} with tables; servers: {} ready, {} draining, {} gone; list version {}{}; \
-             {} connections, {strangers} not joined; {} messages, {} bytes; refused: {}",
+             {} connections, {strangers} not joined; {} messages, {} lines, {} bytes, {} out, {} back; refused: {}",
             self.streams.count(),
             self.streams.bound(),
             count(Readiness::Ready),
@@ -666,8 +669,11 @@
             self.names.version,
             if self.watch.is_some() { "" } else { ", no watch" },
             self.conns.len(),
-            self.pushes.0,
-            self.pushes.1,
+            told.messages,
+            told.lines,
+            self.bytes_told,
+            told.out,
+            told.back,
             if refused.is_empty() { "nothing".into() } else { refused.join(", ") },
         );
         self.say(now, line);
--- a/crates/node/src/manners.rs
+++ b/crates/node/src/manners.rs
@@ -26,6 +26,10 @@
 /// Dialling discovery again: the first pause, and the longest.
 const DIAL_FIRST: Nanos = SECOND / 20;
 const DIAL_MOST: Nanos = SECOND;
+/// A file of settings that cannot be read is read again after so long, so many times: its replacement takes no
+/// longer, and time limits hold off for 4 s after the signal.
+const REREAD_AFTER: Nanos = SECOND / 10;
+const REREADS: u32 = 40;
 /// A stream that says nothing and answers no mark is held for dead after so many times the longest way there
 /// and back, a report cycle, and the emptying of a full channel.
 const STREAM_SILENCE: Nanos = 4;
@@ -114,6 +118,11 @@
         now + (pause as f64 * (0.5 + 0.5 * chance)) as Nanos
     }
 
+    /// When a file that could not be read so many times is read again, if it is.
+    pub fn reread_at(&self, now: Nanos, tries: u32) -> Option<Nanos> {
+        (tries < REREADS).then_some(now + REREAD_AFTER)
+    }
+
     /// Is a connection closed after so many lines in a row that cannot be read?
     pub fn tired_of(&self, noise: u32) -> bool {
         noise >= NOISE
--- a/crates/node/src/names.rs
+++ b/crates/node/src/names.rs
@@ -105,7 +105,7 @@
                 .map_err(|error| error.to_string())
                 .and_then(|entry| self.list(entry, clocks))
             {
-                Ok(row) => drop(rows.insert(row.server, row)),
+                Ok(row) => rows.extend(row.map(|row| (row.server, row))),
                 Err(fault) => {
                     faults.push(fault);
                     let kept = named.and_then(|number| self.get(number));
@@ -126,7 +126,8 @@
         (if list.full { RosterNews::Full(rows) } else { RosterNews::Delta(rows) }, faults)
     }
 
-    fn list(&mut self, entry: Listed, clocks: Clocks) -> Result<RosterRow, String> {
+    /// Nothing where a server has gone that was never heard of: it came and went between two lists.
+    fn list(&mut self, entry: Listed, clocks: Clocks) -> Result<Option<RosterRow>, String> {
         let place = |list: &[String], word: &str| list.iter().position(|known| known == word);
         let Listed { id, .. } = &entry;
         let locality = place(&self.localities, &entry.zone)
@@ -139,7 +140,7 @@
         let address = entry.addr.parse().ok();
         let number = match self.number(id) {
             Some(number) => number,
-            None if entry.state == State::Gone => return Err(format!("server {id}: gone, never listed")),
+            None if entry.state == State::Gone => return Ok(None),
             None => {
                 self.last += 1;
                 let name: Arc<str> = Arc::from(id.as_str());
@@ -178,7 +179,7 @@
             weight: entry.weight,
             ready_at: server.row.ready_at,
         };
-        Ok(server.row)
+        Ok(Some(server.row))
     }
 
     /// Lets go of servers that have been gone since before then and that nobody needs any more, and names them.
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -4,7 +4,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, Result};
-use shalereel_reactor::now;
+use shalereel_reactor::{now, reload_signals, stop_signals};
 use shalereel_rpc::{Bounds, ConnId, Hub, Input};
 
 use crate::core::{Core, Effect, Way};
@@ -19,6 +19,8 @@
 
 /// Serves until SIGTERM. Errors: the file is bad, or the address cannot be served.
 pub fn run(file: &Path) -> Result<()> {
+    // Before all else: a signal that comes while the file is read must find its handler.
+    let signals = (stop_signals()?, reload_signals()?);
     let start = Start::read(file)?;
     let manners = Manners::new(&start.facts, start.limits);
     let bounds = Bounds {
@@ -27,9 +29,9 @@
         unread: manners.unread(),
         silence: manners.stream_silence(),
     };
-    let mut hub: Hub<(), ()> = Hub::new(bounds)?;
-    hub.stop_on_signals()?;
-    hub.reload_on_signal()?;
+    let mut hub: Hub<(), u32> = Hub::new(bounds)?;
+    hub.stop_on(signals.0)?;
+    hub.reload_on(signals.1)?;
     hub.hold_at_most(manners.guests());
     let listen = start.listen;
     hub.listen_given(listen, ()).with_context(|| format!("{}: listen = {listen}", file.display()))?;
@@ -45,10 +47,8 @@
                 Input::Opened { conn, .. } => core.opened(conn, now()),
                 Input::Bytes { conn, bytes } => core.bytes(conn, &bytes, clocks()),
                 Input::Closed { conn, why } => core.closed(conn, &why, now()),
-                Input::Reload => match Start::read(file) {
-                    Ok(start) => core.move_discovery(start.discovery, now()),
-                    Err(error) => tracing::warn!("the old settings stay in force: {error}"),
-                },
+                Input::Reload => reload(file, 0, &mut core, &mut hub),
+                Input::Due(tries) => reload(file, tries, &mut core, &mut hub),
                 Input::Stop => {
                     tracing::info!("stopped by a signal");
                     return Ok(());
@@ -59,7 +59,23 @@
     }
 }
 
-fn carry_out(core: &mut Core<ConnId>, hub: &mut Hub<(), ()>) {
+/// The file may be in the middle of its replacement, cut, empty or missing, when the signal comes: it is read
+/// again for a while.
+fn reload(file: &Path, tries: u32, core: &mut Core<ConnId>, hub: &mut Hub<(), u32>) {
+    match Start::read(file) {
+        Ok(start) => core.move_discovery(start.discovery, now()),
+        Err(error) => {
+            if tries == 0 {
+                tracing::warn!("the old settings stay in force: {error}");
+            }
+            if let Some(at) = core.manners().reread_at(now(), tries) {
+                hub.set(at, tries + 1);
+            }
+        }
+    }
+}
+
+fn carry_out(core: &mut Core<ConnId>, hub: &mut Hub<(), u32>) {
     loop {
         let effects = core.effects();
         if effects.is_empty() {
--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -72,6 +72,17 @@
     mark: Option<(u64, bool)>,
 }
 
+/// What proxies were told since the start, as the protocol counts lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Told {
+    pub messages: u64,
+    /// Without the heads of messages.
+    pub lines: u64,
+    /// Among them servers that were to be shut out, and let back.
+    pub out: u64,
+    pub back: u64,
+}
+
 #[derive(Debug)]
 pub struct Streams {
     operations: usize,
@@ -79,6 +90,7 @@
     gates: BTreeMap<u16, Gate>,
     suspended: BTreeSet<ServerId>,
     joined: BTreeMap<ProxyId, Stream>,
+    pub told: Told,
 }
 
 impl Streams {
@@ -89,6 +101,7 @@
             gates: BTreeMap::new(),
             suspended: BTreeSet::new(),
             joined: BTreeMap::new(),
+            told: Told::default(),
         }
     }
 
@@ -134,11 +147,12 @@
         self.tables.values().any(|table| table.lines.contains_key(&server))
     }
 
-    /// Drops what is remembered of a server that was let go.
+    /// Drops what is remembered of a server that was let go. Should it be listed again it gets another number:
+    /// who shuts it out still does, as if others had told it.
     pub fn forget(&mut self, server: ServerId) {
         self.suspended.remove(&server);
         for stream in self.joined.values_mut() {
-            stream.shut.remove(&server);
+            stream.brought |= stream.shut.remove(&server);
             stream.settled.remove(&server);
         }
     }
@@ -240,7 +254,7 @@
     }
 
     fn tell(&mut self, draft: Draft, names: &Names, classes: &[String]) -> Vec<(ProxyId, Bytes)> {
-        let Streams { tables, gates, suspended, joined, .. } = self;
+        let Streams { tables, gates, suspended, joined, told: counts, .. } = self;
         let changed = |table: TableId| {
             let lines = draft.lines.get(&table).is_some_and(|touched| {
                 let held = tables.get(&table).map(|table| &table.lines);
@@ -257,7 +271,7 @@
         }
         let returned: Vec<ServerId> =
             names.iter().filter(|(_, server)| server.returned).map(|(number, _)| number).collect();
-        let mut encoded: BTreeMap<Content, Bytes> = BTreeMap::new();
+        let mut encoded: BTreeMap<Content, (Bytes, u64)> = BTreeMap::new();
         let mut messages = Vec::new();
         for (&proxy, stream) in joined {
             let installs = draft.installs.get(&proxy);
@@ -313,9 +327,13 @@
             }
             stream.marks.extend(ticket);
             let content = Content { tellings, out, back, ticket };
-            let bytes = encoded.entry(content).or_insert_with_key(|content| {
+            counts.messages += 1;
+            counts.out += content.out.len() as u64;
+            counts.back += content.back.len() as u64;
+            let (bytes, lines) = encoded.entry(content).or_insert_with_key(|content| {
                 encode(content, &Known { tables, gates, draft: &draft, names, classes })
             });
+            counts.lines += *lines;
             messages.push((proxy, bytes.clone()));
         }
         messages
@@ -385,7 +403,8 @@
     }
 }
 
-fn encode(content: &Content, known: &Known<'_>) -> Bytes {
+/// The message, and its lines as the protocol counts them.
+fn encode(content: &Content, known: &Known<'_>) -> (Bytes, u64) {
     let mut groups: BTreeMap<Telling, Vec<u16>> = BTreeMap::new();
     for (at, telling) in content.tellings.iter().enumerate() {
         groups.entry(*telling).or_default().push(at as u16);
@@ -438,10 +457,11 @@
         (last.out, last.back, last.ticket) = (out, back, content.ticket);
     }
     let count = parts.len();
-    let mut bytes = Vec::new();
+    let (mut bytes, mut counted) = (Vec::new(), 0);
     for (at, mut part) in parts.into_iter().enumerate() {
         part.more = at + 1 < count;
         part.write(&mut bytes);
+        counted += part.counted();
     }
-    bytes.into()
+    (bytes.into(), counted)
 }
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -29,17 +29,18 @@
         Watch { answer: Answer::default(), lines: Lines::default(), body: Vec::new(), heard: now }
     }
 
-    /// The lists that these bytes end. Errors: the watch is of no further use.
-    pub fn take(&mut self, bytes: &[u8], most: usize, now: Nanos) -> Result<Vec<List>, String> {
+    /// The lists that these bytes end, and why the watch is of no further use, where it is. Nothing is read past
+    /// a fault: a change left out there would be missing for good, since the version moves on. What is dialled
+    /// next asks for all after the last list that was read.
+    pub fn take(&mut self, bytes: &[u8], most: usize, now: Nanos) -> (Vec<List>, Option<String>) {
         self.heard = now;
-        self.answer.take(bytes, &mut self.body).map_err(|error| error.to_string())?;
-        match self.answer.status() {
-            None | Some(200) => {}
-            Some(status) => return Err(format!("discovery answers with status {status}")),
+        let read = self.answer.take(bytes, &mut self.body).map_err(|error| error.to_string());
+        if let Some(status) = self.answer.status().filter(|&status| status != 200) {
+            return (Vec::new(), Some(format!("discovery answers with status {status}")));
         }
         let (mut lists, mut fault) = (Vec::new(), None);
         let body = std::mem::take(&mut self.body);
-        let read = self.lines.take(&body, most, |line| {
+        let lines = self.lines.take(&body, most, |line| {
             if fault.is_none() && !line.trim_ascii().is_empty() {
                 match serde_json::from_slice(line) {
                     Ok(list) => lists.push(list),
@@ -47,13 +48,7 @@
                 }
             }
         });
-        // What came before the fault counts; the fault shows again with the next bytes, or as silence.
-        match (read, fault) {
-            (Ok(()), None) if self.answer.is_over() && lists.is_empty() => Err("the watch has ended".into()),
-            (Ok(()), None) => Ok(lists),
-            (_, Some(fault)) if lists.is_empty() => Err(fault),
-            (Err(error), None) if lists.is_empty() => Err(error.to_string()),
-            _ => Ok(lists),
-        }
+        let over = self.answer.is_over().then(|| "the watch has ended".to_owned());
+        (lists, fault.or(lines.err().map(|error| error.to_string())).or(read.err()).or(over))
     }
 }
--- a/crates/node/src/words.rs
+++ b/crates/node/src/words.rs
@@ -110,6 +110,13 @@
 }
 
 impl Push<'_> {
+    /// Lines that it counts as in the channel, without the head of its message.
+    pub fn counted(&self) -> u64 {
+        let flags = [self.whole, self.level.is_some(), self.ticket.is_some()];
+        let flags = flags.into_iter().filter(|&there| there).count();
+        (flags + self.lines.as_ref().map_or(0, Vec::len) + self.out.len() + self.back.len()) as u64
+    }
+
     /// Appends it as a line.
     pub fn write(&self, out: &mut Vec<u8>) {
         // A struct of numbers and texts can always be written.
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -4,7 +4,8 @@
 
 use rstest::rstest;
 use serde_json::{json, Value};
-use shalereel_node::{Clocks, Core, Effect, Start, Way};
+use shalereel::interface::Order;
+use shalereel_node::{Clocks, Core, Effect, List, Names, Start, Streams, Way};
 
 const MS: u64 = 1_000_000;
 const DISCOVERY: u32 = 1000;
@@ -277,3 +278,64 @@
     assert!(told.contains("\"whole\":true") && told.contains("\"s2\""), "{told}");
     assert!(played.log.iter().any(|line| line.contains("begins anew: planted")), "{:?}", played.log);
 }
+
+/// An answer tells that all up to its mark is applied: the one before it may have been lost or spoilt.
+#[test]
+fn an_answer_settles_the_marks_before_it() {
+    let mut played = Played::new(3);
+    let first = written(&played.open(1, &hello(1)), 1);
+    played.say(DISCOVERY, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let drain = json!({"version": 4, "full": false, "servers": [server(1, "Terminating")]});
+    let second = written(&played.discovery(drain), 1);
+    let mark = |text: &str| serde_json::from_str::<Value>(text.trim()).unwrap()["ticket"].as_u64().unwrap();
+    assert_ne!(mark(&first), mark(&second));
+    let ack = |mark| format!("{}\n", json!({"t": "ack", "id": 1, "seq": mark, "ms": 3.0}));
+    played.say(1, &ack(mark(&second)));
+    // It has nothing to say for long but to answer what else comes, and owes nothing.
+    for _ in 0..60 {
+        let did = played.pass(1_000);
+        assert!(!closed(&did, 1), "{:?}", played.log);
+        for push in written(&did, 1).lines() {
+            played.say(1, &ack(mark(push)));
+        }
+        played.say(DISCOVERY, "1\r\n\n\r\n");
+    }
+    played.say(1, &ack(mark(&first)));
+    played.pass(6_000);
+    assert!(played.refused("answer to no mark"), "{:?}", played.log);
+}
+
+/// A server that was let go and is listed again has another number; whoever was told to shut out its name still
+/// does, on the stream of then.
+#[test]
+fn a_server_that_was_let_go_and_returns_is_let_back() {
+    let orders = |orders: &[Order], streams: &mut Streams, names: &Names| {
+        let told = streams.take(orders, names, &["look".to_owned()]).unwrap();
+        told.into_iter().map(|(_, bytes)| String::from_utf8(bytes.to_vec()).unwrap()).collect::<String>()
+    };
+    let list = |version: u64, entries: Vec<Value>| {
+        let list = json!({"version": version, "full": false, "servers": entries});
+        serde_json::from_value::<List>(list).unwrap()
+    };
+    let mut names = Names::new(vec!["north".into()], vec!["big".into()]);
+    let clocks = |s: u64| Clocks { now: s * 1_000 * MS, unix_ms: 1e12 };
+    names.take(list(1, vec![server(0, "Ready"), server(1, "Ready")]), clocks(10));
+    let mut streams = Streams::new(1);
+    streams.join(4, true);
+    let told = orders(&[Order::Suspend { server: 2, on: true }], &mut streams, &names);
+    assert!(told.contains("\"out\":[\"s1\"]"), "{told}");
+    names.take(list(2, vec![server(1, "Gone")]), clocks(11));
+    for gone in names.let_go(clocks(100).now, |_| false) {
+        streams.forget(gone);
+    }
+    let mut again = server(1, "Ready");
+    again["started_ms"] = json!(5e11);
+    names.take(list(3, vec![again]), clocks(101));
+    let number = names.number("s1").unwrap();
+    let table = [
+        Order::Line { table: 0, server: number, weight: 1.0 },
+        Order::Install { proxy: 4, table: 0, operations: 0 },
+    ];
+    let told = orders(&table, &mut streams, &names);
+    assert!(told.contains("\"back\":[\"s1\"]"), "{told}");
+}
--- a/crates/rpc/src/hub.rs
+++ b/crates/rpc/src/hub.rs
@@ -80,11 +80,13 @@
 struct Plain {
     socket: Socket,
     out: VecDeque<Bytes>,
+    /// The peer has ended its side in order.
+    half_closed: bool,
 }
 
 impl Plain {
     fn new(socket: Socket) -> Self {
-        Plain { socket, out: VecDeque::new() }
+        Plain { socket, out: VecDeque::new(), half_closed: false }
     }
 
     fn waiting(&self) -> usize {
@@ -126,6 +128,7 @@
             let mut buffer = ReadBuf::new(&mut piece);
             match Pin::new(&mut self.socket).poll_read(cx, &mut buffer) {
                 Poll::Ready(Ok(())) if buffer.filled().is_empty() => {
+                    self.half_closed = true;
                     return Poll::Ready("closed by the peer".into());
                 }
                 Poll::Ready(Ok(())) => came.push(Bytes::copy_from_slice(buffer.filled())),
@@ -151,6 +154,8 @@
     conns: BTreeMap<ConnId, Held>,
     /// To be polled before the next wait: something was put into them.
     touched: BTreeSet<ConnId>,
+    /// Plain ones whose peer has ended its side: they are held until what was read from them is answered.
+    half_closed: BTreeSet<ConnId>,
     ready: VecDeque<Input<L, K>>,
     signals: Option<(Token, UnixStream)>,
     reloads: Option<(Token, UnixStream)>,
@@ -180,6 +185,7 @@
             listeners: BTreeMap::new(),
             conns: BTreeMap::new(),
             touched: BTreeSet::new(),
+            half_closed: BTreeSet::new(),
             ready: VecDeque::new(),
             signals: None,
             reloads: None,
@@ -192,14 +198,22 @@
 
     /// SIGTERM and SIGINT come as [`Input::Stop`].
     pub fn stop_on_signals(&mut self) -> io::Result<()> {
-        let signals = stop_signals()?;
+        self.stop_on(stop_signals()?)
+    }
+
+    /// The same with handlers that stand already: a signal that came since is told.
+    pub fn stop_on(&mut self, signals: UnixStream) -> io::Result<()> {
         self.signals = Some((self.reactor.add(&signals)?, signals));
         Ok(())
     }
 
     /// SIGHUP comes as [`Input::Reload`].
     pub fn reload_on_signal(&mut self) -> io::Result<()> {
-        let signals = reload_signals()?;
+        self.reload_on(reload_signals()?)
+    }
+
+    /// See [`Hub::stop_on`].
+    pub fn reload_on(&mut self, signals: UnixStream) -> io::Result<()> {
         self.reloads = Some((self.reactor.add(&signals)?, signals));
         Ok(())
     }
@@ -403,6 +417,9 @@
     /// Waits for the next turn and gives all that it brought, at least one thing unless `until` came first.
     pub fn wait(&mut self, until: Option<Nanos>) -> io::Result<Vec<Input<L, K>>> {
         loop {
+            for conn in std::mem::take(&mut self.half_closed) {
+                self.close(conn, false);
+            }
             for conn in std::mem::take(&mut self.touched) {
                 self.poll(conn);
             }
@@ -546,9 +563,15 @@
                 over
             }
         };
-        if let Poll::Ready(why) = over {
-            self.conns.remove(&id);
-            self.ready.push_back(Input::Closed { conn: id, why });
+        let Poll::Ready(why) = over else { return };
+        match self.conns.get(&id).map(|held| &held.speech) {
+            Some(Speech::Plain(plain)) if plain.half_closed => {
+                if !self.half_closed.insert(id) {
+                    return;
+                }
+            }
+            _ => drop(self.conns.remove(&id)),
         }
+        self.ready.push_back(Input::Closed { conn: id, why });
     }
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -92,17 +92,15 @@
 /// Nothing more is put into the channel while more waits there than empties in so many times the longest way.
 const PROMPT: f64 = 2.0;
 /// A newcomer without a table of ours is told what to shun when this part of a drain's grace has passed.
-const WARN_PART: f64 = 0.5;
-/// Joiners' lines for one of changes to others, since without any table more is lost than by an old one; in time
-/// at most this part of a drain's grace.
+const WARN_PART: f64 = 0.25;
+/// Joiners' lines for one of changes, an eighth of the grace at most: no table is worse than an old one.
 const TURN: f64 = 3.0;
-const TURN_PART: f64 = 0.125;
 /// What an earlier instance learned weighs this part of what it did, faded by the time since; its states, a
 /// term or a band, stand only where that is not longer ago than this.
 const RECALLED: f64 = 0.8;
 const RECALLED_FOR: Nanos = 12 * SCORE_MEMORY;
 /// What is not answered in so many times the span in which a full channel empties is taken for lost.
-const SLOWEST: f64 = 4.0;
+const SLOWEST: f64 = 12.0;
 
 /// The table of all proxies on the ordinary path; small ones are numbered after it. What joiners are told to
 /// shun, whatever they hold, is kept like one more table.
@@ -517,7 +515,8 @@
             post.put(Part::Server(id), Note::Held(held));
             let weight = self.told.get(&id).copied().unwrap_or(if ready { standing.weight } else { 0.0 });
             let weight = if ready && !held { weight } else { 0.0 };
-            let want = Want { weight, urgent: !ready || !standing.warm, binds: standing.binds };
+            let (urgent, binds) = (!ready || !standing.warm, standing.binds);
+            let want = Want { weight, urgent, binds, started: standing.row.ready_at > 0 };
             post.put(Part::Channel, Note::Want(id, want));
         }
     }
@@ -676,11 +675,11 @@
         let elapsed = now.saturating_sub(self.at) as f64;
         self.at = now;
         self.written = (self.written - self.messages_half * elapsed / self.messages_over as f64).max(0.0);
-        // What is not answered yet, less what travels, still waits: so a slow channel shows.
+        // What is not answered yet, less what travels at the ordinary pace, still waits.
         let (pace, most) = (self.lines_per_ns, SLOWEST * self.room);
         self.fenced.retain(|_, f| (now.saturating_sub(f.at) as f64) * pace < most && !f.open.is_empty());
-        let open = |fence: &Fence| fence.lines * fence.open.len() as f64 / fence.messages as f64;
-        let open = self.fenced.values().map(open).sum::<f64>() - pace * self.transit as f64;
+        let travels = if self.is_late(now) { 0.0 } else { self.travelling() };
+        let open = self.fenced.values().map(Fence::unanswered).sum::<f64>() - travels;
         self.waiting = (self.waiting - elapsed * self.lines_per_ns).max(open).max(0.0);
         self.waiting
     }
@@ -699,7 +698,7 @@
                 let used = self.parts.iter().filter(|_| self.apart).map(|part| part.1);
                 post.put(Part::Fleet, Note::Used(used.collect()));
             }
-            Note::Joined(proxy, rate) => {
+            Note::Joined(proxy, rate, new) => {
                 let came = Fading { sum: rate * LEARNING as f64 / SECOND as f64, at: post.now };
                 // While kept apart it goes where least comes for the size.
                 let load = |(&table, size): (&TableId, &f64)| {
@@ -708,7 +707,8 @@
                 };
                 let loads = self.sizes.iter().filter(|_| self.apart).map(load);
                 let table = loads.min_by(|a, b| a.0.total_cmp(&b.0)).map_or(WHOLE, |(_, table)| table);
-                self.members.insert(proxy, Member { came, table, joined: post.now, ..Member::default() });
+                let (brought, joined) = (!new, post.now);
+                self.members.insert(proxy, Member { came, table, brought, joined, ..Member::default() });
                 // What was ordered before has not reached it.
                 self.told.range_mut((SHUNNED, 0)..).for_each(|(_, told)| *told /= 2.0);
             }
@@ -724,9 +724,8 @@
             Note::Confirmed(proxy, serial) => self.pacing.confirmed(proxy, serial),
             Note::Flush => {
                 // Whole tables say what to shun, but must not take the room that a rule needs elsewhere.
-                if self.turn > 0.0
-                    || !self.differing(post.now).iter().any(|change| change.rank == 0 && !change.again)
-                {
+                let owed = self.differing(post.now).iter().any(|change| change.rank == 0 && !change.again);
+                if self.turn > 0.0 || !owed {
                     self.joins(JOIN_ROOM, post);
                 }
                 let part = if self.changes(post) { JOIN_ROOM } else { ORDINARY_ROOM };
@@ -815,8 +814,7 @@
     /// much of the work they move.
     fn differing(&self, now: Nanos) -> Vec<Change> {
         // A whole table does as well: until it cannot be there in time, it is waited for.
-        let queue = (self.pacing.waiting / self.pacing.lines_per_ns) as Nanos;
-        let warn = now + queue.min(self.grace);
+        let warn = now + self.grace.min((self.pacing.waiting / self.pacing.lines_per_ns) as Nanos);
         let late = |member: &Member| warn >= member.joined + (WARN_PART * self.grace as f64) as Nanos;
         let strangers = self.members.values().any(|member| member.bound.is_none() && late(member));
         let mut lines: BTreeSet<(TableId, ServerId)> = self.told.keys().chain(&self.parts).copied().collect();
@@ -831,8 +829,8 @@
             if moved > WEIGHT_STEP * told {
                 let want = self.wants.get(&server).copied().unwrap_or_default();
                 let urgent = weight < told && want.urgent;
-                // What drains goes ahead of all; a small table is filled before it is cut.
-                let moved = if want.binds { f64::MAX / (1.0 + f64::from(SHUNNED - table)) } else { moved };
+                // What drains goes ahead of all, out of tables first: users of a table shun what it still holds.
+                let moved = if want.binds { f64::MAX / (1.0 + f64::from(table)) } else { moved };
                 let fills = table > WHOLE && weight > told && (told == 0.0 || table == SHUNNED);
                 let rank = if urgent || fills { 0 } else { 1 + u8::from(weight > 0.0) };
                 let again = table == SHUNNED && told > 0.0 && weight > 0.0;
@@ -856,7 +854,6 @@
             *readers.entry(member.bound.unwrap_or(SHUNNED)).or_insert(0.0) += 1.0;
             newcomers += f64::from(u8::from(member.bound.is_none() && !member.warned));
         }
-        let strangers = readers.contains_key(&SHUNNED);
         let mut changes = self.differing(now);
         let urgent = changes.iter().filter(|change| change.rank == 0).count();
         let heads = self.pacing.overhead + 1.0;
@@ -868,12 +865,15 @@
         let ordinary = ordinary.clamp(ORDINARY_ROOM, JOIN_ROOM);
         let waiting = self.pacing.waiting(now);
         let room = |part: f64| part * self.pacing.room - waiting;
+        // What is thought to travel waits where the channel has just become slow.
+        let rule = (URGENT_ROOM - self.pacing.travelling() / self.pacing.room).max(JOIN_ROOM);
         let least = self.members.len() as f64 * (heads + heads.min(urgent as f64));
-        let bound = readers.keys().any(|&table| table != SHUNNED);
+        let strangers = readers.contains_key(&SHUNNED);
+        let bound = readers.len() > usize::from(strangers);
         // Pieces smaller than their own heads are not worth sending, and joiners have their turn. What would
         // only wait in the channel waits here, and gathers: it arrives no later, in fewer messages.
         let theirs = strangers && self.turn > 0.0 && room(JOIN_ROOM) > 0.0;
-        let small = (bound && room(URGENT_ROOM) < least) || waiting > self.pacing.prompt || theirs;
+        let small = (bound && room(rule) < least) || waiting > self.pacing.prompt || theirs;
         // Of what only serves better, no more than goes until the next: what is urgent would stand behind it.
         let ordinary =
             ordinary.min((self.pacing.prompt + self.pacing.lines_per_ns * gap as f64) / self.pacing.room);
@@ -882,22 +882,22 @@
         if !(urgent > 0 || due) || small || self.pacing.written + 1.0 > most.max(1.0) {
             return urgent == 0;
         }
-        let (mut cost, mut touched) = (0.0, BTreeSet::new());
+        let (mut cost, mut full, mut touched) = (0.0, false, BTreeSet::new());
         let mut take = |table: TableId, again: bool, part: f64| {
             let all = readers.get(&table).copied().unwrap_or_default();
             let readers = if again { newcomers } else { all };
             let headed = touched.contains(&(table, false)) || touched.contains(&(table, again));
             let more = readers * if headed { 1.0 } else { 1.0 + heads };
-            let fits = readers == 0.0 || cost + more <= room(part);
-            if fits {
+            full |= readers > 0.0 && cost + more > room(part);
+            if !full {
                 touched.insert((table, again));
                 cost += more;
             }
-            fits
+            !full
         };
         // Changes that only serve better wait while joiners still lack the table.
         changes.retain(|change| match change.rank {
-            0 => take(change.table, change.again, URGENT_ROOM),
+            0 => take(change.table, change.again, rule),
             rank => due && (rank < 2 || !strangers || !bound) && take(change.table, false, ordinary),
         });
         let used = |member: &Member| [member.table, member.bound.unwrap_or(WHOLE)];
@@ -927,7 +927,7 @@
         }
         let reached = self.reached(&touched, SHUNNED);
         if !reached.is_empty() {
-            self.turn = (TURN * cost).min(TURN_PART * self.grace as f64 * self.pacing.lines_per_ns);
+            self.turn = (TURN * cost).min(WARN_PART / 2.0 * self.grace as f64 * self.pacing.lines_per_ns);
             self.pacing.book(cost, reached, post);
         }
         if sent == urgent && touched.iter().any(|(table, _)| *table == SHUNNED) {
@@ -938,10 +938,7 @@
 
     /// Whole tables for those that joined, as many as the channel has room for, the busiest proxies first.
     fn joins(&mut self, part: f64, post: &mut Post) {
-        let mut lines: BTreeMap<TableId, f64> = BTreeMap::new();
-        for ((table, _), _) in self.told.iter().filter(|(_, &weight)| weight > 0.0) {
-            *lines.entry(*table).or_default() += 1.0;
-        }
+        let lines = self.lines();
         let mut waiting: Vec<(ProxyId, &mut Member)> =
             self.members.iter_mut().map(|(&proxy, m)| (proxy, m)).collect();
         waiting.retain(|(_, member)| member.bound != Some(member.table) && lines.contains_key(&member.table));
@@ -950,7 +947,8 @@
         let (mut cost, mut reached) = (0.0, BTreeSet::new());
         for (proxy, member) in waiting {
             let table = member.table;
-            let more = self.pacing.overhead + 2.0 + lines[&table] + self.gates.len() as f64;
+            let (held, back) = lines[&table];
+            let more = self.pacing.overhead + held + if member.brought { back } else { 0.0 };
             if cost + more > room && !(self.pacing.waiting == 0.0 && reached.is_empty()) {
                 break;
             }
@@ -1092,7 +1090,9 @@
         let (part, note) = match event {
             Event::Roster(news) => (Part::Registry, Note::Roster(news)),
             Event::Recalled { remembered, away } => (Part::Registry, Note::Recalled(remembered, away)),
-            Event::Joined { proxy, rate, .. } => (Part::Channel, Note::Joined(proxy, rate)),
+            Event::Joined { proxy, rate, standing_only: new, .. } => {
+                (Part::Channel, Note::Joined(proxy, rate, new))
+            }
             Event::Left { proxy } => (Part::Channel, Note::Left(proxy)),
             Event::Digest(digest) if digest.tries > 0 => (Part::Server(digest.server), Note::Digest(digest)),
             Event::Intake { proxy, operation, total, lost, .. } => {
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -63,7 +63,7 @@
     Apart(bool),
     /// Servers on the small tables of our proxies.
     Used(BTreeSet<ServerId>),
-    Joined(ProxyId, f64),
+    Joined(ProxyId, f64, bool),
     Came(ProxyId, f64),
     Left(ProxyId),
     Confirmed(ProxyId, u64),
@@ -130,6 +130,8 @@
     pub(crate) urgent: bool,
     /// It drains or is gone: no joined proxy may send to it.
     pub(crate) binds: bool,
+    /// It has started since it was first set up: someone may have had proxies shun it before.
+    pub(crate) started: bool,
 }
 
 /// A line that differs from what was told, how it ranks and how much weight it moves.
@@ -169,6 +171,8 @@
     pub(crate) table: TableId,
     pub(crate) bound: Option<TableId>,
     pub(crate) joined: Nanos,
+    /// It came with what others had ordered.
+    pub(crate) brought: bool,
     /// It was told all that is to be shunned.
     pub(crate) warned: bool,
 }
@@ -181,6 +185,19 @@
     pub(crate) lines: f64,
     pub(crate) messages: usize,
     pub(crate) open: BTreeSet<ProxyId>,
+    /// By when most have arrived, at the channel's ordinary pace.
+    pub(crate) due: Nanos,
+}
+
+impl Fence {
+    /// Lines that are not known to have left the channel.
+    pub(crate) fn unanswered(&self) -> f64 {
+        self.lines * self.open.len() as f64 / self.messages as f64
+    }
+
+    pub(crate) fn late(&self, now: Nanos) -> bool {
+        now > self.due && 2 * self.open.len() > self.messages
+    }
 }
 
 /// Figures by which a server judges itself.
--- a/src/state.rs
+++ b/src/state.rs
@@ -162,24 +162,34 @@
     /// Books what was ordered, and has the messages answered. All orders of one reply to a proxy are one message.
     pub(crate) fn book(&mut self, lines: f64, reached: BTreeSet<ProxyId>, post: &mut Post) {
         self.waiting += lines;
+        let due = post.now + (self.waiting / self.lines_per_ns) as Nanos + self.transit;
         if let Some(fence) = self.fenced.get_mut(&self.serial.into()).filter(|fence| fence.at == post.now) {
             fence.open.extend(reached);
-            (fence.lines, fence.messages) = (fence.lines + lines, fence.open.len());
+            (fence.lines, fence.messages, fence.due) = (fence.lines + lines, fence.open.len(), due);
             return;
         }
         self.serial = self.serial.wrapping_add(1);
-        let fence = Fence { at: post.now, lines, messages: reached.len(), open: reached };
+        let fence = Fence { at: post.now, lines, messages: reached.len(), open: reached, due };
         self.fenced.insert(self.serial.into(), fence);
         self.written += 1.0;
         post.orders.push(Order::FencePost { serial: self.serial, everyone: false });
     }
 
-    /// A proxy has applied what was marked, and all that was sent to it before.
+    pub(crate) fn is_late(&self, now: Nanos) -> bool {
+        self.fenced.values().any(|fence| fence.late(now))
+    }
+
+    /// Lines on their way to proxies at the channel's ordinary pace.
+    pub(crate) fn travelling(&self) -> f64 {
+        self.lines_per_ns * self.transit as f64
+    }
+
+    /// A proxy has what was marked. Messages leave the channel one after another: all of before have left it.
     pub(crate) fn confirmed(&mut self, proxy: ProxyId, serial: u64) {
-        let Some(at) = self.fenced.get(&serial).map(|fence| fence.at) else { return };
-        for fence in self.fenced.values_mut().filter(|fence| fence.at <= at) {
-            fence.open.remove(&proxy);
-        }
+        let Some(fence) = self.fenced.get_mut(&serial) else { return };
+        fence.open.remove(&proxy);
+        let at = fence.at;
+        self.fenced.retain(|_, fence| fence.at >= at);
     }
 
     /// Nothing that it was sent waits any more.
@@ -204,6 +214,18 @@
         true
     }
 
+    /// Lines that a whole table takes, its mark and levels among them, and servers that whoever was told to shun
+    /// them is to let back.
+    pub(crate) fn lines(&self) -> BTreeMap<TableId, (f64, f64)> {
+        let mut lines: BTreeMap<TableId, (f64, f64)> = BTreeMap::new();
+        for ((table, server), _) in self.told.iter().filter(|(_, &weight)| weight > 0.0) {
+            let counts = lines.entry(*table).or_insert((2.0 + self.gates.len() as f64, 0.0));
+            let started = self.wants.get(server).is_some_and(|want| want.started);
+            *counts = (counts.0 + 1.0, counts.1 + f64::from(u8::from(started)));
+        }
+        lines
+    }
+
     /// Whom lines of these tables reach; those marked were told before, and go to newcomers alone.
     pub(crate) fn reached(&self, touched: &BTreeSet<(TableId, bool)>, shunned: TableId) -> BTreeSet<ProxyId> {
         let reached = |member: &Member| {
