Reproduce broken drains: three ordered tests that fail; log the settings at start

Cause, as far as the evidence goes: the report's logs name no figures of the channel, so deadlines could not be judged from them; the start now logs them. Two ways to the same break were traced on real processes: newcomers wait behind whole tables (a proxy that joined at 16.341 s was not told of 17 of 30 drains, 4.14 s), and unanswered lines of vanished proxies stop all telling (decided orders=[] from 12.26 to 28 s).

--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -4,6 +4,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, Result};
+use shalereel::interface::Nanos;
 use shalereel_reactor::{now, reload_signals, stop_signals};
 use shalereel_rpc::{Bounds, ConnId, Hub, Input};
 
@@ -36,6 +37,7 @@
     let listen = start.listen;
     hub.listen_given(listen, ()).with_context(|| format!("{}: listen = {listen}", file.display()))?;
     tracing::info!(name = start.name, %listen, discovery = %start.discovery, "started");
+    log_settings(&start);
     let place = |panic: &std::panic::PanicHookInfo<'_>| tracing::error!("{panic}");
     std::panic::set_hook(Box::new(place));
     let mut core: Core<ConnId> = Core::new(start, clocks());
@@ -59,6 +61,30 @@
     }
 }
 
+/// The figures that every deadline and the channel go by: without them a log cannot be judged afterwards.
+fn log_settings(start: &Start) {
+    let facts = &start.facts;
+    let milliseconds = |span: Nanos| span / 1_000_000;
+    tracing::info!(
+        proxies = facts.proxies,
+        supervisors = facts.supervisors,
+        lines_per_s = facts.lines_per_s.round(),
+        backlog = facts.backlog.round(),
+        overhead = facts.message_overhead,
+        mean_transit_ms = milliseconds(facts.mean_transit),
+        worst_transit_ms = milliseconds(facts.worst_transit),
+        drain_grace_ms = milliseconds(facts.drain_grace),
+        empty_for_ms = milliseconds(facts.empty_for),
+        cold_ms = milliseconds(facts.cold_for),
+        report_cycle_ms = milliseconds(facts.report_cycle),
+        messages_max = facts.messages_max,
+        memory_mb = start.limits.memory_mb,
+        sockets = start.limits.sockets,
+        known = start.known.as_ref().map(|list| list.version),
+        "settings"
+    );
+}
+
 /// The file may be in the middle of its replacement, cut, empty or missing, when the signal comes: it is read
 /// again for a while.
 fn reload(file: &Path, tries: u32, core: &mut Core<ConnId>, hub: &mut Hub<(), u32>) {
--- /dev/null
+++ b/crates/node/tests/deadlines.rs
@@ -0,0 +1,102 @@
+//! After supervisors were killed, all of their proxies came to the one that was left within a second and a half, while
+//! servers were being replaced. It wrote whole tables to some of them and let the rest wait behind these, although what
+//! the rest had to be told, which servers drain, was due within the grace; and it took a proxy for served as soon as
+//! its table was ordered, seconds before the channel could deliver it. In another run it wrote nothing to anybody for
+//! sixteen seconds: proxies whose machines had vanished owed answers, and their lines counted as waiting before all
+//! others. What a rule hangs on had no deadline of its own and stood behind what has none.
+//!
+//!   16.262 s  list version 2, changes: 30 servers                (grace 1.7 s)
+//!   16.341 s  proxy 152 joined, holding what it was told
+//!   16.580 s  125 messages, 2954 lines, 2604 out; nothing more to newcomers but tables of 226 lines each until
+//!   17.980 s  184 messages, 2576 lines, 2392 out: 13 of the 30 servers; proxy 152 still sent to one 4.14 s after
+//!
+//!   12.260 s  the last message for a while; 185 proxies had vanished at 9.063 s and answered no mark
+//!   19.943 s  list version 14: server gone; decided orders=[] until 28 s; a proxy sent to it 6.63 s after (grace 6.3 s)
+
+mod platform;
+
+use platform::{name, Platform, Setting, Verdict, SECOND};
+use rstest::rstest;
+
+const MS: u64 = platform::MS;
+
+fn all(servers: u32) -> Vec<String> {
+    (0..servers).map(name).collect()
+}
+
+fn kept(verdict: &Verdict, setting: &Setting) {
+    assert_eq!((verdict.drains, verdict.starved), (0, 0), "{verdict:?}");
+    assert!(verdict.most_waiting <= setting.backlog, "{verdict:?}");
+}
+
+/// A fifth of the proxies is ours from the start.
+fn settled(setting: &Setting, seed: u64) -> Platform {
+    let mut platform = Platform::new(setting.clone(), seed);
+    for id in 0..setting.proxies / 5 {
+        platform.join(id, [name(id % 10)], true);
+    }
+    platform.pass(8 * SECOND);
+    platform
+}
+
+/// The others come within so long, each with a table of all servers.
+fn all_come(platform: &mut Platform, setting: &Setting, within: u64) {
+    let others = setting.proxies / 5..setting.proxies;
+    let step = within / u64::from(others.end - others.start);
+    let mut due = 0;
+    for id in others {
+        platform.join(id, all(setting.servers), false);
+        due += step;
+        if due >= 20 * MS {
+            platform.pass(20 * MS);
+            due -= 20 * MS;
+        }
+    }
+}
+
+#[rstest]
+fn all_proxies_come_while_servers_drain() {
+    let setting = Setting::default();
+    let mut platform = settled(&setting, 1);
+    platform.list(0..30, "Terminating");
+    all_come(&mut platform, &setting, SECOND);
+    platform.pass(10 * SECOND);
+    kept(&platform.verdict, &setting);
+}
+
+#[rstest]
+fn a_release_goes_on_in_steps_after_all_have_come() {
+    let setting = Setting { grace: 3 * SECOND, ..Setting::default() };
+    let mut platform = settled(&setting, 2);
+    platform.list(0..30, "Terminating");
+    all_come(&mut platform, &setting, SECOND);
+    for step in 1..6 {
+        platform.pass(SECOND);
+        platform.list((step - 1) * 30..step * 30, "Ready");
+        platform.pass(SECOND);
+        platform.list(step * 30..(step + 1) * 30, "Terminating");
+    }
+    platform.pass(10 * SECOND);
+    kept(&platform.verdict, &setting);
+}
+
+#[rstest]
+fn a_drain_is_told_though_vanished_proxies_owe_answers() {
+    let (grace, worst_transit) = (4 * SECOND, 200 * MS);
+    let setting = Setting { grace, worst_transit, mean_transit: 100 * MS, ..Setting::default() };
+    let mut platform = settled(&setting, 3);
+    for id in 0..30 {
+        platform.vanish(id);
+    }
+    platform.list(0..2, "Terminating");
+    platform.pass(7 * SECOND);
+    // These come and are cut off at once: tables are ordered that they never take.
+    for id in 80..100 {
+        platform.join(id, all(setting.servers), false);
+        platform.vanish(id);
+    }
+    platform.pass(3 * SECOND);
+    platform.list(10..40, "Gone");
+    platform.pass(6 * SECOND);
+    kept(&platform.verdict, &setting);
+}
