Keep every deadline of drains as a whole: small tables stand in, urgent lines wait for none

Cause: what a rule hangs on had no deadline of its own. Newcomers waited behind whole tables (Channel::joins and the return on small in Channel::changes), a proxy counted as served when its table was ordered, and unanswered lines of vanished proxies stopped all telling: they counted as waiting before all others for 12 full channels.

Change: src/deadlines.rs holds obligations and whether the channel still keeps them, earliest first; where whole tables cannot, newcomers, and then all, go by small tables of 8 servers (src/subsets.rs) until it is calm. What is urgent is bounded by the channel's room alone; what can wait, by a quarter of the grace; late answers teach the channel's pace (src/pacing.rs). Channel and pacing leave src/brain.rs. A stream is silent since its mark was sent, not since it spoke.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -65,6 +65,8 @@
     heard: Nanos,
     /// Lines in a row that could not be read.
     noise: u32,
+    /// Since when it has owed answers to marks and given none.
+    owes_since: Option<Nanos>,
 }
 
 impl Conn {
@@ -187,7 +189,8 @@
     }
 
     fn hold(&mut self, conn: C, role: Role, now: Nanos) {
-        self.conns.insert(conn, Conn { role, lines: Lines::default(), heard: now, noise: 0 });
+        self.conns
+            .insert(conn, Conn { role, lines: Lines::default(), heard: now, noise: 0, owes_since: None });
     }
 
     /// A connection is over, by the peer or the network.
@@ -320,6 +323,7 @@
             (_, Role::Stranger) => self.refuse(conn, "report before joining", now),
             (Said::Ack { id, seq, ms }, &Role::Stream(proxy)) if id == u32::from(proxy) => {
                 if self.manners.is_span(ms) && self.streams.answered(proxy, seq) {
+                    held.owes_since = self.streams.owes(proxy).then_some(now);
                     let took = (ms * 1e6) as Nanos;
                     self.pending.push(Event::Confirmed { proxy, serial: seq, took });
                 } else {
@@ -517,13 +521,15 @@
             }
         }
         let patience = self.manners.stream_silence();
-        let silent = |conn: &Conn, proxy: ProxyId| {
-            now.saturating_sub(conn.heard) > patience && self.streams.owes(proxy)
+        // A proxy to which nothing comes has nothing to say until it is told something.
+        let silent = |conn: &Conn| {
+            let owed = conn.owes_since.map(|since| now.saturating_sub(since.max(conn.heard)));
+            owed.is_some_and(|owed| owed > patience)
         };
         let silent: Vec<C> = self
             .conns
             .iter()
-            .filter(|(_, conn)| matches!(conn.role, Role::Stream(proxy) if silent(conn, proxy)))
+            .filter(|(_, conn)| matches!(conn.role, Role::Stream(_)) && silent(conn))
             .map(|(&conn, _)| conn)
             .collect();
         for conn in silent {
@@ -561,6 +567,9 @@
                 for (proxy, bytes) in messages {
                     if let Some(&conn) = self.by_proxy.get(&proxy) {
                         self.bytes_told += bytes.len() as u64;
+                        if let Some(held) = self.conns.get_mut(&conn).filter(|_| self.streams.owes(proxy)) {
+                            held.owes_since.get_or_insert(clocks.now);
+                        }
                         self.effects.push(Effect::Write(conn, bytes));
                     }
                 }
--- a/crates/node/tests/deadlines.rs
+++ b/crates/node/tests/deadlines.rs
@@ -55,8 +55,10 @@
 }
 
 #[rstest]
-fn all_proxies_come_while_servers_drain() {
-    let setting = Setting::default();
+#[case::grace_2_s(Setting::default())]
+#[case::grace_4_s(Setting { grace: 4 * SECOND, worst_transit: 800 * MS, mean_transit: 300 * MS, ..Setting::default() })]
+#[case::slow_channel(Setting { lines_per_s: 3_500.0, backlog: 20_000.0, overhead: 10.0, grace: 6 * SECOND, ..Setting::default() })]
+fn all_proxies_come_while_servers_drain(#[case] setting: Setting) {
     let mut platform = settled(&setting, 1);
     platform.list(0..30, "Terminating");
     all_come(&mut platform, &setting, SECOND);
@@ -65,8 +67,9 @@
 }
 
 #[rstest]
-fn a_release_goes_on_in_steps_after_all_have_come() {
-    let setting = Setting { grace: 3 * SECOND, ..Setting::default() };
+#[case::grace_3_s(Setting { grace: 3 * SECOND, ..Setting::default() })]
+#[case::grace_6_s(Setting { lines_per_s: 3_500.0, overhead: 10.0, grace: 6 * SECOND, ..Setting::default() })]
+fn a_release_goes_on_in_steps_after_all_have_come(#[case] setting: Setting) {
     let mut platform = settled(&setting, 2);
     platform.list(0..30, "Terminating");
     all_come(&mut platform, &setting, SECOND);
@@ -100,3 +103,66 @@
     platform.pass(6 * SECOND);
     kept(&platform.verdict, &setting);
 }
+
+#[rstest]
+#[case::half(0.5)]
+#[case::a_tenth(0.1)]
+fn a_slow_channel_is_told_what_is_due_first(#[case] pace: f64) {
+    let setting = Setting { pace, proxies: 60, grace: 6 * SECOND, ..Setting::default() };
+    let mut platform = settled(&setting, 4);
+    platform.list(0..10, "Terminating");
+    all_come(&mut platform, &setting, SECOND);
+    platform.pass(12 * SECOND);
+    kept(&platform.verdict, &setting);
+}
+
+#[rstest]
+fn two_drains_whose_graces_overlap_are_both_kept() {
+    let setting = Setting { grace: 3 * SECOND, ..Setting::default() };
+    let mut platform = settled(&setting, 5);
+    all_come(&mut platform, &setting, SECOND);
+    platform.pass(300 * MS);
+    platform.list(0..25, "Terminating");
+    platform.pass(1_500 * MS);
+    platform.list(25..50, "Terminating");
+    platform.pass(8 * SECOND);
+    kept(&platform.verdict, &setting);
+}
+
+#[rstest]
+fn a_server_that_drains_returns_and_drains_again_is_left_each_time() {
+    let setting = Setting { grace: 3 * SECOND, ..Setting::default() };
+    let mut platform = settled(&setting, 6);
+    for _ in 0..4 {
+        platform.list(0..20, "Terminating");
+        all_come(&mut platform, &setting, SECOND);
+        platform.list(0..20, "Ready");
+        platform.pass(SECOND);
+    }
+    platform.list(0..20, "Terminating");
+    platform.pass(8 * SECOND);
+    kept(&platform.verdict, &setting);
+}
+
+#[rstest]
+fn answers_that_get_lost_hold_up_nothing() {
+    let setting = Setting { grace: 4 * SECOND, lost_marks: 4, ..Setting::default() };
+    let mut platform = settled(&setting, 7);
+    platform.list(0..30, "Terminating");
+    all_come(&mut platform, &setting, SECOND);
+    platform.pass(10 * SECOND);
+    kept(&platform.verdict, &setting);
+}
+
+/// After the trouble every proxy is back on the table of all servers.
+#[rstest]
+fn small_tables_are_given_up_when_the_channel_is_free_again() {
+    let setting = Setting { grace: 3 * SECOND, ..Setting::default() };
+    let mut platform = settled(&setting, 8);
+    platform.list(0..30, "Terminating");
+    all_come(&mut platform, &setting, SECOND);
+    platform.pass(120 * SECOND);
+    kept(&platform.verdict, &setting);
+    let least = (0..setting.proxies).map(|id| platform.held_by(id)).min();
+    assert_eq!(least, Some(setting.servers as usize - 30));
+}
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -12,6 +12,8 @@
 const START: u64 = 10 * SECOND;
 const UNIX_MS: f64 = 1e12;
 const DISCOVERY: u32 = u32::MAX;
+/// So long a proxy may lack a server to pick.
+const EMPTY_FOR: u64 = 3 * SECOND;
 /// The protocol's allowance on its time limits.
 const ALLOWANCE: u64 = 300 * MS;
 
@@ -58,7 +60,7 @@
         "known": {"version": 3, "full": true, "servers": servers},
         "settings": {
             "classes": [{"deadline_ms": 3000.0, "effect": "pure", "name": "look", "slo_ms": 1000.0, "worth": 1.0}],
-            "family_info": {"admit": "off", "backlog": self.backlog, "cycle_ms": 1000.0, "empty_for_ms": 3000.0,
+            "family_info": {"admit": "off", "backlog": self.backlog, "cycle_ms": 1000.0, "empty_for_ms": milliseconds(EMPTY_FOR),
                 "first_wait": 0.8, "lines_per_s": self.lines_per_s, "overhead": self.overhead,
                 "proxies": self.proxies, "push_delay_ms": milliseconds(self.mean_transit),
                 "retry_default": 0, "worst_transit_ms": milliseconds(self.worst_transit)},
@@ -84,6 +86,8 @@
 struct Proxy {
     conn: Option<u32>,
     joined: u64,
+    /// Since when it has no server to pick.
+    starved: Option<u64>,
     /// Takes orders and answers nothing, as a machine that has vanished.
     vanished: bool,
     table: BTreeSet<String>,
@@ -332,7 +336,9 @@
     /// Nothing may be picked by a joined proxy later than the grace after the later of joining and telling, and
     /// none may be without a server while one is ready.
     fn judge(&mut self) {
-        for (&id, proxy) in self.proxies.iter().filter(|(_, proxy)| proxy.conn.is_some() && !proxy.vanished) {
+        for (&id, proxy) in
+            self.proxies.iter_mut().filter(|(_, proxy)| proxy.conn.is_some() && !proxy.vanished)
+        {
             for (server, &told) in &self.unready {
                 let by = told.max(proxy.joined) + self.setting.grace + ALLOWANCE;
                 if self.now <= by || !proxy.uses(server) {
@@ -347,10 +353,30 @@
                     self.verdict.first.get_or_insert(line);
                 }
             }
-            let usable =
-                proxy.table.iter().any(|server| proxy.uses(server) && !self.unready.contains_key(server));
-            let patience = 3 * SECOND + ALLOWANCE;
-            self.verdict.starved += usize::from(!usable && self.now > proxy.joined + patience);
+            let picks = |server: &String| proxy.uses(server) && !self.unready.contains_key(server);
+            if proxy.table.iter().any(picks) {
+                proxy.starved = None;
+            } else {
+                let since = *proxy.starved.get_or_insert(self.now);
+                let starved = self.now > since + EMPTY_FOR + ALLOWANCE;
+                if starved {
+                    self.verdict.first.get_or_insert(format!(
+                        "at {:.2} s proxy {id} joined {:.2} starved since {:.2}: {:?} out {:?}",
+                        (self.now - START) as f64 / 1e9,
+                        (proxy.joined - START) as f64 / 1e9,
+                        (since - START) as f64 / 1e9,
+                        proxy.table,
+                        proxy.out
+                    ));
+                }
+                self.verdict.starved += usize::from(starved);
+            }
         }
     }
+
+    /// Servers that some proxy of these holds by our own word.
+    pub fn held_by(&self, id: u32) -> usize {
+        let proxy = &self.proxies[&id];
+        proxy.table.iter().filter(|server| proxy.uses(server)).count()
+    }
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::channel::{Channel, WEIGHT_STEP};
 use crate::interface::*;
 use crate::notes::*;
 use crate::state::*;
@@ -29,12 +30,8 @@
 const FIRST_TERM: Nanos = 5 * SECOND;
 /// Part of its weight with which a server returns.
 const RETURN_LEVEL: f64 = 0.1;
-/// A weight moves only by more than this part of what was told.
-const WEIGHT_STEP: f64 = 0.1;
 /// At most this part of the ready servers is withdrawn for their health.
 const WITHDRAWN_PART: f64 = 1.0 / 3.0;
-/// Ordinary changes leave at most this often.
-const BATCH_GAP: Nanos = SECOND;
 
 /// Tries that a server is credited with beforehand: a few bad ones of a heavy tail are no evidence.
 const CREDIT: f64 = 4.0;
@@ -82,38 +79,15 @@
 const BLIND_PART: f64 = 0.4;
 /// With less than this part of the usual ready weight warm, the warm are about to jam.
 const WARM_LEAST: f64 = 0.4;
-/// Heads of ordinary messages take at most this part of the channel: where there are many proxies changes gather
-/// for longer, since a message that says little costs as much.
-const HEADS_PART: f64 = 0.4;
-/// Part of the channel's room that ordinary changes, joins, and what a rule hangs on may fill.
-const ORDINARY_ROOM: f64 = 0.3;
-const JOIN_ROOM: f64 = 0.5;
-const URGENT_ROOM: f64 = 0.9;
-/// Nothing more is put into the channel while more waits there than empties in so many times the longest way.
-const PROMPT: f64 = 2.0;
-/// A newcomer without a table of ours is told what to shun when this part of a drain's grace has passed.
-const WARN_PART: f64 = 0.25;
-/// Joiners' lines for one of changes, an eighth of the grace at most: no table is worse than an old one.
-const TURN: f64 = 3.0;
 /// What an earlier instance learned weighs this part of what it did, faded by the time since; its states, a
 /// term or a band, stand only where that is not longer ago than this.
 const RECALLED: f64 = 0.8;
 const RECALLED_FOR: Nanos = 12 * SCORE_MEMORY;
-/// What is not answered in so many times the span in which a full channel empties is taken for lost.
-const SLOWEST: f64 = 12.0;
 
-/// The table of all proxies on the ordinary path; small ones are numbered after it. What joiners are told to
-/// shun, whatever they hold, is kept like one more table.
-const WHOLE: TableId = 0;
-const SHUNNED: TableId = TableId::MAX;
 /// Where connections are hard to get: so many of the servers lose tries, and answers take at most this
 /// multiple of that part of what is late; so many proxies share so many servers; for so long at first.
 const WIDE: f64 = 0.4;
 const QUICK: f64 = 1.5;
-const GROUP_PROXIES: usize = 2;
-const GROUP_SERVERS: usize = 6;
-const LEAST_CHOICE: f64 = 3.0;
-const SMALL_COLD: f64 = 0.5;
 const APART_FOR: Nanos = 6 * SCORE_MEMORY;
 
 const BEAT: u64 = 1;
@@ -516,7 +490,9 @@
             let weight = self.told.get(&id).copied().unwrap_or(if ready { standing.weight } else { 0.0 });
             let weight = if ready && !held { weight } else { 0.0 };
             let (urgent, binds) = (!ready || !standing.warm, standing.binds);
-            let want = Want { weight, urgent, binds, started: standing.row.ready_at > 0 };
+            let started = standing.row.ready_at > 0;
+            let (unready, locality) = (!ready, standing.row.locality);
+            let want = Want { weight, urgent, binds, unready, locality, started };
             post.put(Part::Channel, Note::Want(id, want));
         }
     }
@@ -670,300 +646,6 @@
     order.into_iter().map(demand).collect()
 }
 
-impl Pacing {
-    fn waiting(&mut self, now: Nanos) -> f64 {
-        let elapsed = now.saturating_sub(self.at) as f64;
-        self.at = now;
-        self.written = (self.written - self.messages_half * elapsed / self.messages_over as f64).max(0.0);
-        // What is not answered yet, less what travels at the ordinary pace, still waits.
-        let (pace, most) = (self.lines_per_ns, SLOWEST * self.room);
-        self.fenced.retain(|_, f| (now.saturating_sub(f.at) as f64) * pace < most && !f.open.is_empty());
-        let travels = if self.is_late(now) { 0.0 } else { self.travelling() };
-        let open = self.fenced.values().map(Fence::unanswered).sum::<f64>() - travels;
-        self.waiting = (self.waiting - elapsed * self.lines_per_ns).max(open).max(0.0);
-        self.waiting
-    }
-}
-
-impl Channel {
-    fn take(&mut self, note: Note, post: &mut Post) {
-        match note {
-            Note::Want(server, want) => drop(self.wants.insert(server, want)),
-            Note::Gates(gates) => self.gates = gates,
-            Note::Apart(apart) => {
-                if apart != self.apart {
-                    self.split(apart);
-                }
-                self.refill();
-                let used = self.parts.iter().filter(|_| self.apart).map(|part| part.1);
-                post.put(Part::Fleet, Note::Used(used.collect()));
-            }
-            Note::Joined(proxy, rate, new) => {
-                let came = Fading { sum: rate * LEARNING as f64 / SECOND as f64, at: post.now };
-                // While kept apart it goes where least comes for the size.
-                let load = |(&table, size): (&TableId, &f64)| {
-                    let users = self.members.values().filter(|member| member.table == table);
-                    (users.map(|member| member.came.sum).sum::<f64>() / size, table)
-                };
-                let loads = self.sizes.iter().filter(|_| self.apart).map(load);
-                let table = loads.min_by(|a, b| a.0.total_cmp(&b.0)).map_or(WHOLE, |(_, table)| table);
-                let (brought, joined) = (!new, post.now);
-                self.members.insert(proxy, Member { came, table, brought, joined, ..Member::default() });
-                // What was ordered before has not reached it.
-                self.told.range_mut((SHUNNED, 0)..).for_each(|(_, told)| *told /= 2.0);
-            }
-            Note::Came(proxy, total) => {
-                if let Some(member) = self.members.get_mut(&proxy) {
-                    member.came.add(post.now, LEARNING, total);
-                }
-            }
-            Note::Left(proxy) => {
-                self.members.remove(&proxy);
-                self.pacing.left(proxy);
-            }
-            Note::Confirmed(proxy, serial) => self.pacing.confirmed(proxy, serial),
-            Note::Flush => {
-                // Whole tables say what to shun, but must not take the room that a rule needs elsewhere.
-                let owed = self.differing(post.now).iter().any(|change| change.rank == 0 && !change.again);
-                if self.turn > 0.0 || !owed {
-                    self.joins(JOIN_ROOM, post);
-                }
-                let part = if self.changes(post) { JOIN_ROOM } else { ORDINARY_ROOM };
-                self.joins(part, post);
-            }
-            _ => {}
-        }
-    }
-
-    /// Deals sound servers to small groups of proxies, each with a table, by the traffic that each brings;
-    /// or brings all back to the whole table. Our window of the servers, all in one order, goes by our number
-    /// and our part of the proxies, so supervisors need not agree.
-    fn split(&mut self, apart: bool) {
-        self.apart = apart;
-        self.members.values_mut().for_each(|member| member.table = WHOLE);
-        let sound = self.sound();
-        let count = sound.len() as f64;
-        let ours = (count * self.members.len() as f64 / self.proxies.max(1.0)).ceil().min(count) as usize;
-        let first = (count * self.supervisor / self.supervisors.max(1.0)) as usize;
-        let window: Vec<(ServerId, f64)> = sound.into_iter().cycle().skip(first).take(ours).collect();
-        let groups = (self.members.len() / GROUP_PROXIES).min(ours / GROUP_SERVERS);
-        let rates: f64 = self.members.values().map(|member| member.came.sum).sum();
-        if !apart || groups < 2 || rates <= 0.0 {
-            // Small tables that there are stand until the last proxy has left them.
-            return;
-        }
-        self.parts.clear();
-        self.sizes.clear();
-        self.dealt = self.wants.keys().copied().collect();
-        let weights: f64 = window.iter().map(|(_, weight)| weight).sum();
-        let (mut to, mut ends) = (0.0, BTreeMap::new());
-        for member in self.members.values_mut() {
-            let part = member.came.sum / rates;
-            member.table = WHOLE + 1 + ((to + part / 2.0) * groups as f64) as TableId;
-            to += part;
-            ends.insert(member.table, to);
-            *self.sizes.entry(member.table).or_default() += part * weights;
-        }
-        // A small group still gets some choice.
-        let least = LEAST_CHOICE * weights / window.len() as f64;
-        self.sizes.values_mut().for_each(|size| *size = size.max(least));
-        let mut at = 0.0;
-        for (server, weight) in window {
-            let middle = (at + weight / 2.0) / weights;
-            at += weight;
-            let table = ends.iter().find(|(_, &end)| end >= middle).map(|(&table, _)| table);
-            self.parts.extend(table.map(|table| (table, server)));
-        }
-    }
-
-    /// A small table that has lost half of its weight gets more of the sound servers; others stay as dealt.
-    /// A server first listed since goes, cold or not, to a table of the supervisor its number falls to.
-    fn refill(&mut self) {
-        let sound = self.sound();
-        let ours = |server: ServerId| f64::from(server) % self.supervisors.max(1.0) == self.supervisor;
-        let fresh = self.wants.keys().filter(|server| ours(**server) && !self.dealt.contains(server));
-        for (&server, at) in fresh.zip(self.sizes.keys().cycle().skip(self.dealt.len())) {
-            self.parts.insert((*at, server));
-        }
-        self.dealt.extend(self.wants.keys());
-        for (&table, size) in &self.sizes {
-            let lines = self.parts.range((table, 0)..(table + 1, 0));
-            let mut sum: f64 = lines.map(|&(_, server)| self.wanted(table, server)).sum();
-            let first = sound.len() * usize::from(table) / (self.sizes.len() + 1);
-            let more = sound.iter().cycle().skip(first).take(if sum < size / 2.0 { sound.len() } else { 0 });
-            for (server, weight) in more {
-                if sum < *size && self.parts.insert((table, *server)) {
-                    sum += weight;
-                }
-            }
-        }
-    }
-
-    /// What a table should say of a server. A small one may have lost half of its weight: the cold get half.
-    fn wanted(&self, table: TableId, server: ServerId) -> f64 {
-        let want = self.wants.get(&server).copied().unwrap_or_default();
-        match table {
-            WHOLE => want.weight,
-            SHUNNED if want.urgent && want.weight == 0.0 => 1.0,
-            _ if !self.parts.contains(&(table, server)) => 0.0,
-            _ => want.weight * if want.urgent { SMALL_COLD } else { 1.0 },
-        }
-    }
-
-    /// Lines whose standing value differs enough, those that keep a rule first, then withdrawals, then by how
-    /// much of the work they move.
-    fn differing(&self, now: Nanos) -> Vec<Change> {
-        // A whole table does as well: until it cannot be there in time, it is waited for.
-        let warn = now + self.grace.min((self.pacing.waiting / self.pacing.lines_per_ns) as Nanos);
-        let late = |member: &Member| warn >= member.joined + (WARN_PART * self.grace as f64) as Nanos;
-        let strangers = self.members.values().any(|member| member.bound.is_none() && late(member));
-        let mut lines: BTreeSet<(TableId, ServerId)> = self.told.keys().chain(&self.parts).copied().collect();
-        lines.extend(self.wants.keys().map(|&server| (WHOLE, server)));
-        let binds = self.wants.iter().filter(|(_, want)| strangers && want.binds);
-        lines.extend(binds.map(|(&server, _)| (SHUNNED, server)));
-        let mut changes: Vec<Change> = Vec::new();
-        for (table, server) in lines {
-            let told = self.told.get(&(table, server)).copied().unwrap_or_default();
-            let weight = self.wanted(table, server);
-            let moved = (weight - told).abs();
-            if moved > WEIGHT_STEP * told {
-                let want = self.wants.get(&server).copied().unwrap_or_default();
-                let urgent = weight < told && want.urgent;
-                // What drains goes ahead of all, out of tables first: users of a table shun what it still holds.
-                let moved = if want.binds { f64::MAX / (1.0 + f64::from(table)) } else { moved };
-                let fills = table > WHOLE && weight > told && (told == 0.0 || table == SHUNNED);
-                let rank = if urgent || fills { 0 } else { 1 + u8::from(weight > 0.0) };
-                let again = table == SHUNNED && told > 0.0 && weight > 0.0;
-                changes.push(Change { table, server, weight, rank, moved, again });
-            }
-        }
-        changes.sort_by(|a, b| a.rank.cmp(&b.rank).then(b.moved.total_cmp(&a.moved)));
-        changes
-    }
-
-    /// Changed lines, as many as the channel takes: what is left out stays owed and goes later.
-    ///
-    /// Guards the channel's limit against anything that changes many lines at once, a mass restart, a wrong
-    /// list or noise. Drained or gone servers must be left, and cold ones kept from a full share, whatever
-    /// else waits. It could harm where much changes for good reasons: then the table lags behind by seconds.
-    fn changes(&mut self, post: &mut Post) -> bool {
-        let now = post.now;
-        let mut readers = BTreeMap::new();
-        let mut newcomers = 0.0;
-        for member in self.members.values() {
-            *readers.entry(member.bound.unwrap_or(SHUNNED)).or_insert(0.0) += 1.0;
-            newcomers += f64::from(u8::from(member.bound.is_none() && !member.warned));
-        }
-        let mut changes = self.differing(now);
-        let urgent = changes.iter().filter(|change| change.rank == 0).count();
-        let heads = self.pacing.overhead + 1.0;
-        let all_heads = heads * self.members.len() as f64;
-        let gap = BATCH_GAP.max((all_heads / HEADS_PART / self.pacing.lines_per_ns) as Nanos);
-        let due = now.saturating_sub(self.flushed) >= gap || self.flushed == 0;
-        // What is urgent may need as many lines as its heads.
-        let ordinary = URGENT_ROOM - 2.0 * all_heads / self.pacing.room;
-        let ordinary = ordinary.clamp(ORDINARY_ROOM, JOIN_ROOM);
-        let waiting = self.pacing.waiting(now);
-        let room = |part: f64| part * self.pacing.room - waiting;
-        // What is thought to travel waits where the channel has just become slow.
-        let rule = (URGENT_ROOM - self.pacing.travelling() / self.pacing.room).max(JOIN_ROOM);
-        let least = self.members.len() as f64 * (heads + heads.min(urgent as f64));
-        let strangers = readers.contains_key(&SHUNNED);
-        let bound = readers.len() > usize::from(strangers);
-        // Pieces smaller than their own heads are not worth sending, and joiners have their turn. What would
-        // only wait in the channel waits here, and gathers: it arrives no later, in fewer messages.
-        let theirs = strangers && self.turn > 0.0 && room(JOIN_ROOM) > 0.0;
-        let small = (bound && room(rule) < least) || waiting > self.pacing.prompt || theirs;
-        // Of what only serves better, no more than goes until the next: what is urgent would stand behind it.
-        let ordinary =
-            ordinary.min((self.pacing.prompt + self.pacing.lines_per_ns * gap as f64) / self.pacing.room);
-        // Half of what a limit on messages leaves is for what is urgent.
-        let most = self.pacing.messages_half * if urgent > 0 { 1.0 } else { ORDINARY_ROOM };
-        if !(urgent > 0 || due) || small || self.pacing.written + 1.0 > most.max(1.0) {
-            return urgent == 0;
-        }
-        let (mut cost, mut full, mut touched) = (0.0, false, BTreeSet::new());
-        let mut take = |table: TableId, again: bool, part: f64| {
-            let all = readers.get(&table).copied().unwrap_or_default();
-            let readers = if again { newcomers } else { all };
-            let headed = touched.contains(&(table, false)) || touched.contains(&(table, again));
-            let more = readers * if headed { 1.0 } else { 1.0 + heads };
-            full |= readers > 0.0 && cost + more > room(part);
-            if !full {
-                touched.insert((table, again));
-                cost += more;
-            }
-            !full
-        };
-        // Changes that only serve better wait while joiners still lack the table.
-        changes.retain(|change| match change.rank {
-            0 => take(change.table, change.again, rule),
-            rank => due && (rank < 2 || !strangers || !bound) && take(change.table, false, ordinary),
-        });
-        let used = |member: &Member| [member.table, member.bound.unwrap_or(WHOLE)];
-        let tables: BTreeSet<TableId> = self.members.values().flat_map(used).collect();
-        let gates = tables.into_iter().flat_map(|table| self.gates.iter().map(move |gate| (table, *gate)));
-        let differs = |(table, gate): &(TableId, Gate)| {
-            due && self.gates_told.get(&(*table, gate.operation)) != Some(gate)
-                && take(*table, false, JOIN_ROOM)
-        };
-        let gates: Vec<(TableId, Gate)> = gates.filter(differs).collect();
-        let sent = changes.iter().filter(|change| change.rank == 0).count();
-        if changes.is_empty() && gates.is_empty() {
-            return sent == urgent;
-        }
-        self.flushed = if due { now } else { self.flushed };
-        for &Change { table, server, weight, .. } in &changes {
-            post.orders.push(match table {
-                SHUNNED => Order::Suspend { server, on: weight > 0.0 },
-                _ => Order::Line { table, server, weight },
-            });
-            self.told.insert((table, server), weight);
-        }
-        for (table, gate) in gates {
-            let (operations, amount, further) = (1 << gate.operation, gate.amount, gate.further);
-            post.orders.push(Order::Gate { table: Some(table), operations, amount, further });
-            self.gates_told.insert((table, gate.operation), gate);
-        }
-        let reached = self.reached(&touched, SHUNNED);
-        if !reached.is_empty() {
-            self.turn = (TURN * cost).min(WARN_PART / 2.0 * self.grace as f64 * self.pacing.lines_per_ns);
-            self.pacing.book(cost, reached, post);
-        }
-        if sent == urgent && touched.iter().any(|(table, _)| *table == SHUNNED) {
-            self.members.values_mut().for_each(|member| member.warned |= member.bound.is_none());
-        }
-        sent == urgent
-    }
-
-    /// Whole tables for those that joined, as many as the channel has room for, the busiest proxies first.
-    fn joins(&mut self, part: f64, post: &mut Post) {
-        let lines = self.lines();
-        let mut waiting: Vec<(ProxyId, &mut Member)> =
-            self.members.iter_mut().map(|(&proxy, m)| (proxy, m)).collect();
-        waiting.retain(|(_, member)| member.bound != Some(member.table) && lines.contains_key(&member.table));
-        waiting.sort_by(|(_, a), (_, b)| a.bound.cmp(&b.bound).then(b.came.sum.total_cmp(&a.came.sum)));
-        let room = (self.pacing.room * part).min(self.pacing.prompt) - self.pacing.waiting(post.now);
-        let (mut cost, mut reached) = (0.0, BTreeSet::new());
-        for (proxy, member) in waiting {
-            let table = member.table;
-            let (held, back) = lines[&table];
-            let more = self.pacing.overhead + held + if member.brought { back } else { 0.0 };
-            if cost + more > room && !(self.pacing.waiting == 0.0 && reached.is_empty()) {
-                break;
-            }
-            post.orders.push(Order::Install { proxy, table, operations: 0 });
-            member.bound = Some(table);
-            cost += more;
-            reached.insert(proxy);
-        }
-        if !reached.is_empty() {
-            self.turn -= cost;
-            self.pacing.book(cost, reached, post);
-        }
-    }
-}
-
 /// One instance of the decisions.
 #[derive(Debug)]
 pub struct Brain {
@@ -1014,27 +696,7 @@
                 avoided_from: AVOIDED.powf(1.0 / f64::from(facts.fails_to_avoid.max(1))) * wait_stretch,
                 ..Fleet::default()
             },
-            channel: Channel {
-                supervisor: facts.supervisor.into(),
-                supervisors: facts.supervisors.into(),
-                proxies: facts.proxies.into(),
-                pacing: Pacing {
-                    lines_per_ns: facts.lines_per_s / SECOND as f64,
-                    room: facts.backlog,
-                    overhead: facts.message_overhead,
-                    transit: facts.mean_transit,
-                    prompt: PROMPT * facts.worst_transit as f64 * facts.lines_per_s / SECOND as f64,
-                    messages_half: match facts.messages_max {
-                        0 => f64::INFINITY,
-                        most => f64::from(most) / 2.0,
-                    },
-                    messages_over: facts.messages_over.max(1),
-                    ..Pacing::default()
-                },
-                gates,
-                grace: facts.drain_grace,
-                ..Channel::default()
-            },
+            channel: Channel::new(facts, gates),
             beat: facts.report_cycle.clamp(SECOND / 10, SECOND) / 4,
             started: false,
         }
@@ -1077,7 +739,7 @@
         servers.retain(|id, server| {
             let unlisted = !registry.listed.contains(id);
             let long = post.now.saturating_sub(server.since.max(server.heard)) > GONE_KEPT;
-            if unlisted && long && channel.let_go(*id, SHUNNED) {
+            if unlisted && long && channel.let_go(*id) {
                 fleet.standings.remove(id);
                 return false;
             }
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -1,6 +1,8 @@
 use rstest::{fixture, rstest};
 
 use super::*;
+use crate::channel::{JOIN_ROOM, SMALL_COLD, WHOLE};
+use crate::pacing::{Fence, Pacing};
 
 const START: Nanos = 1_000 * SECOND;
 
@@ -507,8 +509,11 @@
 ) {
     let mut pacing = Brain::new(&facts).channel.pacing;
     let due = START + 20 * SECOND;
-    pacing.fenced.insert(1, Fence { at: START, lines: 1_200.0, messages: 4, open: (0..4).collect(), due });
-    (0..answers).for_each(|proxy| pacing.confirmed(proxy, 1));
+    pacing.fenced.insert(
+        1,
+        Fence { at: START, lines: 1_200.0, ahead: 1_200.0, messages: 4, open: (0..4).collect(), due },
+    );
+    (0..answers).for_each(|proxy| pacing.confirmed(proxy, 1, START));
     assert!((pacing.waiting(START + after * SECOND) - waiting).abs() < 1e-6);
 }
 
@@ -528,9 +533,11 @@
         (vec![3, 2], 2_000.0, 3)
     );
     // Said twice, by one that owes nothing, and of a mark that there is not.
-    [(1, 1), (1, 1), (9, 1), (2, 7)].into_iter().for_each(|(proxy, mark)| pacing.confirmed(proxy, mark));
+    [(1, 1), (1, 1), (9, 1), (2, 7)]
+        .into_iter()
+        .for_each(|(proxy, mark)| pacing.confirmed(proxy, mark, START));
     assert_eq!(open(&pacing), [2, 2]);
-    pacing.confirmed(2, 2);
+    pacing.confirmed(2, 2, START);
     assert_eq!(open(&pacing), [1], "messages leave one after another: the first ones have left");
     pacing.left(1);
     assert_eq!(open(&pacing), [0]);
@@ -538,10 +545,12 @@
 
 #[rstest]
 fn newcomers_alone_are_told_again_what_is_shunned(mut facts: StartupFacts) {
-    (facts.proxies, facts.backlog) = (200, 4_000.0);
+    (facts.proxies, facts.backlog) = (200, 5_000.0);
     let mut brain = Brain::new(&facts);
     let drained = (51..=100).map(|id| RosterRow { readiness: Readiness::Draining, ..row(id) });
-    brain.decide(START, vec![listed((1..=50).map(row).chain(drained))]);
+    // All others are cold: no small table can stand in.
+    let cold = (1..=50).map(|id| RosterRow { ready_at: START, ..row(id) });
+    brain.decide(START, vec![listed(cold.chain(drained))]);
     // No room for whole tables in time: all wait, and are told what is shunned.
     let full = |brain: &mut Brain, at: u64| {
         brain.channel.pacing.fenced.clear();
@@ -574,27 +583,42 @@
 #[rstest]
 fn what_a_proxy_that_left_did_not_answer_waits_no_more(facts: StartupFacts) {
     let mut channel = running(&facts).channel;
-    channel
-        .pacing
-        .fenced
-        .insert(9, Fence { at: START, lines: 900.0, messages: 1, open: [1].into(), due: START });
+    channel.pacing.fenced.insert(
+        9,
+        Fence { at: START, lines: 900.0, ahead: 900.0, messages: 1, open: [1].into(), due: START },
+    );
     channel.take(Note::Left(1), &mut Post { now: START, ..Post::default() });
     assert!(channel.pacing.waiting(START + SECOND) < 1.0);
 }
 
 #[rstest]
-fn joins_leave_room_while_a_rule_is_owed_lines(facts: StartupFacts) {
+#[case::no_small_table_can_stand_in(START, 0)]
+#[case::small_tables_stand_in(0, 20)]
+fn whole_tables_leave_room_while_a_rule_is_owed_lines(
+    facts: StartupFacts,
+    #[case] ready_at: Nanos,
+    #[case] small: usize,
+) {
     let mut brain = large(facts, 400, 40);
     brain.channel.members.values_mut().take(20).for_each(|member| member.bound = Some(WHOLE));
     brain.channel.members.values_mut().skip(20).for_each(|member| member.bound = None);
     (brain.channel.pacing.waiting, brain.channel.pacing.at) =
         (brain.channel.pacing.room / 2.0, START + SECOND);
     let drained = (1..=200).map(|id| RosterRow { readiness: Readiness::Draining, ..row(id) });
-    let news = vec![Event::Roster(RosterNews::Delta(drained.collect()))];
+    let others = (201..=400).map(|id| RosterRow { ready_at, ..row(id) });
+    let news = vec![Event::Roster(RosterNews::Delta(drained.chain(others).collect()))];
     let orders = answered(&mut brain, START + SECOND, news);
-    // Drained servers leave the tables before joiners are told to shun them.
-    assert!(matches!(orders[0], Order::Line { table: WHOLE, weight: 0.0, .. }), "{:?}", orders[0]);
-    assert!(!orders.iter().any(|order| matches!(order, Order::Install { .. })));
+    let installed = |order: &&Order| matches!(order, Order::Install { .. });
+    assert!(!orders.iter().any(|order| matches!(order, Order::Install { table: WHOLE, .. })));
+    if small == 0 {
+        // Drained servers leave the tables before joiners are told to shun them.
+        assert!(matches!(orders[0], Order::Line { table: WHOLE, weight: 0.0, .. }), "{:?}", orders[0]);
+        assert_eq!(orders.iter().filter(installed).count(), 0);
+    } else {
+        // Newcomers get theirs first, in place of 200 lines each.
+        assert!(orders.iter().filter(installed).count() >= small, "{orders:?}");
+        assert!(!orders.iter().any(|order| matches!(order, Order::Suspend { .. })));
+    }
 }
 
 #[rstest]
@@ -624,11 +648,40 @@
     brain.decide(now, events)
 }
 
-/// Lines that orders put into the channel, counted as the wire tells, for a table that all members use.
-fn lines(orders: &[Order], servers: usize, members: usize) -> usize {
-    let installs = orders.iter().filter(|order| matches!(order, Order::Install { .. })).count();
-    let each = orders.iter().filter(|order| matches!(order, Order::Line { .. } | Order::Gate { .. })).count();
-    installs * (servers + 9) + if each > 0 { members * (each + 6) } else { 0 }
+/// Lines that orders put into the channel, counted as the wire tells; `users` are those of each table before.
+fn lines(orders: &[Order], users: &BTreeMap<TableId, usize>, held: &BTreeMap<TableId, usize>) -> usize {
+    let mut touched: BTreeMap<TableId, usize> = BTreeMap::new();
+    let mut installed = 0;
+    for order in orders {
+        match order {
+            Order::Install { table, .. } => installed += held.get(table).copied().unwrap_or_default() + 9,
+            Order::Line { table, .. } | Order::Gate { table: Some(table), .. } => {
+                *touched.entry(*table).or_default() += 1;
+            }
+            _ => {}
+        }
+    }
+    let told =
+        touched.iter().map(|(table, lines)| users.get(table).copied().unwrap_or_default() * (lines + 6));
+    installed + told.sum::<usize>()
+}
+
+/// Proxies on each table.
+fn users(brain: &Brain) -> BTreeMap<TableId, usize> {
+    let mut users = BTreeMap::new();
+    for table in brain.channel.members.values().filter_map(|member| member.bound) {
+        *users.entry(table).or_default() += 1;
+    }
+    users
+}
+
+/// Servers on each table.
+fn held(brain: &Brain) -> BTreeMap<TableId, usize> {
+    let mut held = BTreeMap::new();
+    for ((table, _), _) in brain.channel.told.iter().filter(|(_, weight)| **weight > 0.0) {
+        *held.entry(*table).or_default() += 1;
+    }
+    held
 }
 
 #[rstest]
@@ -646,8 +699,9 @@
     let (mut waiting, mut told) = (400.0 * 12.0 * JOIN_ROOM, 0);
     for tenth in 1..200 {
         waiting = f64::max(waiting - 320.0, 0.0);
+        let before = users(&brain);
         let orders = answered(&mut brain, START + tenth * SECOND / 10, std::mem::take(&mut news));
-        waiting += lines(&orders, 400, 100) as f64;
+        waiting += lines(&orders, &before, &held(&brain)) as f64;
         assert!(waiting <= 4_800.0, "{waiting}");
         told += orders.iter().filter(|order| matches!(order, Order::Line { .. })).count();
     }
@@ -714,10 +768,11 @@
     #[case] server: ServerId,
     #[case] tables: usize,
 ) {
-    facts.supervisors = 2;
+    (facts.supervisors, facts.drain_grace) = (2, 10 * SECOND);
     let mut channel = apart(facts);
     let post = &mut Post { now: START + 2 * SECOND, ..Post::default() };
     let cold = Want { weight: 0.2, urgent: true, ..Want::default() };
+    channel.pacing.fenced.clear();
     for note in [Note::Want(server, cold), Note::Apart(true), Note::Flush] {
         channel.take(note, post);
     }
@@ -879,12 +934,15 @@
 #[rstest]
 fn changes_gather_longer_where_heads_would_fill_the_channel(facts: StartupFacts) {
     // 300 proxies, 6 lines of head each, at 1,000 lines a second: 1.8 s of the channel for heads alone.
-    let facts = StartupFacts { backlog: 9_000.0, proxies: 300, ..facts };
+    // The grace is long enough for all of them on the whole table.
+    let facts = StartupFacts { backlog: 9_000.0, proxies: 300, drain_grace: 10 * SECOND, ..facts };
     let mut brain = Brain::new(&facts);
     let joined = |proxy| Event::Joined { proxy, locality: 0, rate: 1.0, standing_only: true };
     let mut events = vec![Event::Roster(RosterNews::Full(vec![row(1), row(2)]))];
     events.extend((0..300).map(joined));
-    let told = |orders: &[Order]| orders.iter().any(|order| matches!(order, Order::Line { .. }));
+    // Lines of tables that nobody uses yet cost nothing.
+    let told =
+        |orders: &[Order]| orders.iter().any(|order| matches!(order, Order::Line { table: WHOLE, .. }));
     assert!(told(&brain.decide(START, events)));
     let row = |at: u64| RosterRow { ready_at: START - 20 * SECOND, ..row(at as ServerId) };
     for at in 1..10 {
@@ -950,7 +1008,7 @@
     pacing.book(6_000.0, (0..6).collect(), &mut post);
     let now = START + 6 * SECOND + after * SECOND;
     if after == 0 {
-        (0..2).for_each(|proxy| pacing.confirmed(proxy, 1));
+        (0..2).for_each(|proxy| pacing.confirmed(proxy, 1, START));
     }
     assert_eq!(pacing.waiting(now), waiting);
 }
@@ -960,10 +1018,12 @@
 fn nothing_is_shunned_before_it_has_left_the_tables(mut facts: StartupFacts) {
     (facts.proxies, facts.backlog, facts.drain_grace) = (100, 2_000.0, SECOND / 10);
     let mut brain = Brain::new(&facts);
-    brain.decide(START, vec![listed((1..=60).map(row))]);
+    // All are cold: no small table can stand in.
+    let cold = |id| RosterRow { ready_at: START, ..row(id) };
+    brain.decide(START, vec![listed((1..=60).map(cold))]);
     brain.decide(START + 1, (0..60).map(joined).collect());
     brain.channel.members.values_mut().take(40).for_each(|member| member.bound = Some(WHOLE));
-    let drained = (1..=50).map(|id| RosterRow { readiness: Readiness::Draining, ..row(id) });
+    let drained = (1..=50).map(|id| RosterRow { readiness: Readiness::Draining, ..cold(id) });
     let mut news = vec![Event::Roster(RosterNews::Delta(drained.collect()))];
     let (mut left, mut shunned) = (BTreeSet::new(), 0);
     for tenth in 1..100 {
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -130,22 +130,13 @@
     pub(crate) urgent: bool,
     /// It drains or is gone: no joined proxy may send to it.
     pub(crate) binds: bool,
+    /// It is not ready, whether or not anybody was seen to send to it.
+    pub(crate) unready: bool,
+    pub(crate) locality: LocalityId,
     /// It has started since it was first set up: someone may have had proxies shun it before.
     pub(crate) started: bool,
 }
 
-/// A line that differs from what was told, how it ranks and how much weight it moves.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Change {
-    pub(crate) table: TableId,
-    pub(crate) server: ServerId,
-    pub(crate) weight: f64,
-    pub(crate) rank: u8,
-    pub(crate) moved: f64,
-    /// It was told before, and goes to those alone that joined since.
-    pub(crate) again: bool,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Gate {
     pub(crate) operation: usize,
@@ -163,43 +154,6 @@
     pub(crate) failed: Fading,
 }
 
-#[derive(Debug, Default)]
-pub(crate) struct Member {
-    /// Invocations that came to it.
-    pub(crate) came: Fading,
-    /// The table that it should use, and the one that it was put on.
-    pub(crate) table: TableId,
-    pub(crate) bound: Option<TableId>,
-    pub(crate) joined: Nanos,
-    /// It came with what others had ordered.
-    pub(crate) brought: bool,
-    /// It was told all that is to be shunned.
-    pub(crate) warned: bool,
-}
-
-/// The marked messages of one reply: when they were ordered, their lines, how many they are, and who has not
-/// answered.
-#[derive(Clone, Debug)]
-pub(crate) struct Fence {
-    pub(crate) at: Nanos,
-    pub(crate) lines: f64,
-    pub(crate) messages: usize,
-    pub(crate) open: BTreeSet<ProxyId>,
-    /// By when most have arrived, at the channel's ordinary pace.
-    pub(crate) due: Nanos,
-}
-
-impl Fence {
-    /// Lines that are not known to have left the channel.
-    pub(crate) fn unanswered(&self) -> f64 {
-        self.lines * self.open.len() as f64 / self.messages as f64
-    }
-
-    pub(crate) fn late(&self, now: Nanos) -> bool {
-        now > self.due && 2 * self.open.len() > self.messages
-    }
-}
-
 /// Figures by which a server judges itself.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Judging {
