Take no cold server for warm when the wall clock steps; a new module hears of what is gone

Cause: a server's age was wall clock less its told start, so an hour's step made a cold server warm; a module that begins anew heard only of servers that are listed, so that proxies kept those that had gone meanwhile.

Change: the younger of the ages by the wall clock now and by its reading at the first list, and none above the time since discovery was last heard and 6 s; rows() gives all that is known. Tests: six steps; three ordered tests (a new module, a restart with late news in pieces, bad input).

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -100,6 +100,9 @@
     dial_failures: u32,
     /// The next watch asks for the whole list.
     whole: bool,
+    /// When discovery last told something, be it that nothing has changed.
+    discovery_heard: Option<Nanos>,
+    watch_has_told: bool,
     chance: oorandom::Rand64,
     timers: Timers<Due<C>>,
     pending: Vec<Event>,
@@ -129,6 +132,8 @@
             dialling: false,
             dial_failures: 0,
             whole: false,
+            discovery_heard: None,
+            watch_has_told: false,
             chance: oorandom::Rand64::new(facts.seed.into()),
             timers: Timers::default(),
             pending: Vec::new(),
@@ -146,7 +151,7 @@
         };
         match known {
             Some(known) => {
-                let (news, faults) = core.names.take(known, clocks);
+                let (news, faults) = core.names.take(known, clocks, None);
                 core.faults(faults, clocks.now);
                 let rows = match news {
                     RosterNews::Full(rows) | RosterNews::Delta(rows) => rows,
@@ -252,7 +257,13 @@
         match &mut held.role {
             Role::Discovery(watch) => {
                 let (lists, end) = watch.take(bytes, self.manners.held(), clocks.now);
-                return self.listed(conn, lists, end, clocks);
+                self.watch_has_told |= !lists.is_empty();
+                self.listed(conn, lists, end, clocks);
+                // An empty line tells that nothing has changed, once this watch has told what had.
+                if self.watch_has_told {
+                    self.discovery_heard = Some(clocks.now);
+                }
+                return;
             }
             Role::Probe { server, answer, body, sent } => {
                 let taken = answer.take(bytes, body);
@@ -390,6 +401,7 @@
                 self.dialling = false;
                 self.hold(conn, Role::Discovery(Box::new(Watch::new(now))), now);
                 self.watch = Some(conn);
+                self.watch_has_told = false;
                 let after = (!self.whole).then_some(self.names.version);
                 self.effects.push(Effect::Write(conn, request(address, after).into()));
             }
@@ -436,7 +448,7 @@
             self.dial_failures = 0;
             self.whole = false;
             let (version, full, count) = (list.version, list.full, list.servers.len());
-            let (news, faults) = self.names.take(list, clocks);
+            let (news, faults) = self.names.take(list, clocks, self.discovery_heard);
             self.faults(faults, clocks.now);
             if full || count > 0 {
                 let kind = if full { "whole" } else { "changes" };
--- a/crates/node/src/names.rs
+++ b/crates/node/src/names.rs
@@ -30,6 +30,9 @@
     servers: BTreeMap<ServerId, Server>,
     last: ServerId,
     pub version: u64,
+    /// Unix time at the monotonic clock's beginning, as it was at the first list: a later step of the wall clock
+    /// shows against it.
+    epoch_ms: Option<f64>,
 }
 
 /// The two clocks at one moment: the module's, and Unix time.
@@ -42,25 +45,32 @@
 /// The module's clock runs ahead of the monotonic one by so much, so that starts before this machine's can be told.
 const AHEAD: Nanos = 24 * 3600 * 1_000_000_000;
 
+/// The protocol's bound on how late discovery tells.
+const TOLD_WITHIN: Nanos = 6 * 1_000_000_000;
+
 impl Clocks {
     /// The module's time.
     pub fn module(&self) -> Nanos {
         self.now + AHEAD
     }
 
-    /// A start told in Unix time, on the module's clock; 0 means long ago.
-    fn started(&self, started_ms: f64) -> Nanos {
-        if started_ms <= 0.0 {
-            return 0;
-        }
-        let age = ((self.unix_ms - started_ms).max(0.0) * 1e6) as Nanos;
-        self.module().saturating_sub(age)
+    /// Unix time at the monotonic clock's beginning: it changes only when the wall clock is stepped.
+    fn epoch_ms(&self) -> f64 {
+        self.unix_ms - self.now as f64 / 1e6
     }
 }
 
 impl Names {
     pub fn new(localities: Vec<String>, kinds: Vec<String>) -> Self {
-        Names { localities, kinds, numbers: HashMap::new(), servers: BTreeMap::new(), last: 0, version: 0 }
+        Names {
+            localities,
+            kinds,
+            numbers: HashMap::new(),
+            servers: BTreeMap::new(),
+            last: 0,
+            version: 0,
+            epoch_ms: None,
+        }
     }
 
     pub fn number(&self, name: &str) -> Option<ServerId> {
@@ -84,18 +94,17 @@
         self.localities.iter().position(|known| known == name).map(|at| at as u16)
     }
 
-    /// All that is listed, for a module that begins anew.
+    /// All that is known, for a module that begins anew: proxies may still hold what is gone.
     pub fn rows(&self) -> Vec<RosterRow> {
-        self.servers
-            .values()
-            .filter(|server| server.row.readiness != Readiness::Gone)
-            .map(|s| s.row)
-            .collect()
+        self.servers.values().map(|server| server.row).collect()
     }
 
     /// Takes a list or its changes in, and tells the module's news and what could not be read. An entry that
-    /// cannot be read leaves the server as it was.
-    pub fn take(&mut self, list: List, clocks: Clocks) -> (RosterNews, Vec<String>) {
+    /// cannot be read leaves the server as it was. `heard` is when discovery was last heard before, if it was: what
+    /// has started since cannot be older.
+    pub fn take(&mut self, list: List, clocks: Clocks, heard: Option<Nanos>) -> (RosterNews, Vec<String>) {
+        self.epoch_ms.get_or_insert(clocks.epoch_ms());
+        let oldest = heard.map(|heard| clocks.now.saturating_sub(heard) + TOLD_WITHIN);
         let mut faults = Vec::new();
         let mut rows: BTreeMap<ServerId, RosterRow> = BTreeMap::new();
         for entry in list.servers {
@@ -103,7 +112,7 @@
             let named = entry.get("id").and_then(|id| id.as_str()).and_then(|id| self.number(id));
             match serde_json::from_value::<Listed>(entry)
                 .map_err(|error| error.to_string())
-                .and_then(|entry| self.list(entry, clocks))
+                .and_then(|entry| self.list(entry, clocks, oldest))
             {
                 Ok(row) => rows.extend(row.map(|row| (row.server, row))),
                 Err(fault) => {
@@ -126,8 +135,26 @@
         (if list.full { RosterNews::Full(rows) } else { RosterNews::Delta(rows) }, faults)
     }
 
+    /// A start told in Unix time, on the module's clock; 0 means long ago. Where the wall clock was stepped since the
+    /// first list nobody knows which of its times is right: the younger age is taken, and none above `oldest`. A
+    /// server taken for colder than it is gets less for a while; one taken for warmer falls over.
+    fn started(&self, started_ms: f64, clocks: Clocks, oldest: Option<Nanos>) -> Nanos {
+        if started_ms <= 0.0 {
+            return 0;
+        }
+        let first_epoch = self.epoch_ms.unwrap_or(clocks.epoch_ms());
+        let unix_ms = clocks.unix_ms.min(first_epoch + clocks.now as f64 / 1e6);
+        let age = ((unix_ms - started_ms).max(0.0) * 1e6) as Nanos;
+        clocks.module().saturating_sub(age.min(oldest.unwrap_or(Nanos::MAX)))
+    }
+
     /// Nothing where a server has gone that was never heard of: it came and went between two lists.
-    fn list(&mut self, entry: Listed, clocks: Clocks) -> Result<Option<RosterRow>, String> {
+    fn list(
+        &mut self,
+        entry: Listed,
+        clocks: Clocks,
+        oldest: Option<Nanos>,
+    ) -> Result<Option<RosterRow>, String> {
         let place = |list: &[String], word: &str| list.iter().position(|known| known == word);
         let Listed { id, .. } = &entry;
         let locality = place(&self.localities, &entry.zone)
@@ -152,10 +179,11 @@
                 self.last
             }
         };
+        let ready_at = self.started(entry.started_ms, clocks, oldest);
         let server = self.servers.get_mut(&number).ok_or("a number without a server")?;
         if server.started_ms != entry.started_ms {
             // Once for each start: a step of the wall clock must not look like another.
-            server.row.ready_at = clocks.started(entry.started_ms);
+            server.row.ready_at = ready_at;
             server.returned |= entry.started_ms > 0.0;
             server.started_ms = entry.started_ms;
         }
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -319,18 +319,18 @@
     };
     let mut names = Names::new(vec!["north".into()], vec!["big".into()]);
     let clocks = |s: u64| Clocks { now: s * 1_000 * MS, unix_ms: 1e12 };
-    names.take(list(1, vec![server(0, "Ready"), server(1, "Ready")]), clocks(10));
+    names.take(list(1, vec![server(0, "Ready"), server(1, "Ready")]), clocks(10), None);
     let mut streams = Streams::new(1);
     streams.join(4, true);
     let told = orders(&[Order::Suspend { server: 2, on: true }], &mut streams, &names);
     assert!(told.contains("\"out\":[\"s1\"]"), "{told}");
-    names.take(list(2, vec![server(1, "Gone")]), clocks(11));
+    names.take(list(2, vec![server(1, "Gone")]), clocks(11), None);
     for gone in names.let_go(clocks(100).now, |_| false) {
         streams.forget(gone);
     }
     let mut again = server(1, "Ready");
     again["started_ms"] = json!(5e11);
-    names.take(list(3, vec![again]), clocks(101));
+    names.take(list(3, vec![again]), clocks(101), None);
     let number = names.number("s1").unwrap();
     let table = [
         Order::Line { table: 0, server: number, weight: 1.0 },
@@ -339,3 +339,39 @@
     let told = orders(&table, &mut streams, &names);
     assert!(told.contains("\"back\":[\"s1\"]"), "{told}");
 }
+
+/// Clocks at a second of the monotonic one, the wall clock stepped by so many.
+fn stepped(second: u64, step: f64) -> Clocks {
+    Clocks { now: second * 1_000 * MS, unix_ms: 1e12 + second as f64 * 1e3 + step * 1e3 }
+}
+
+/// Age in seconds that a server has at listing, which started so many seconds before.
+fn age_at_listing(steps: [f64; 2], started: f64, heard: Option<u64>) -> f64 {
+    let mut names = Names::new(vec!["north".into()], vec!["big".into()]);
+    let list = |version, servers: Vec<Value>| -> List {
+        serde_json::from_value(json!({"version": version, "full": false, "servers": servers})).unwrap()
+    };
+    names.take(list(1, vec![]), stepped(100, steps[0]), None);
+    let (mut entry, now) = (server(1, "Ready"), stepped(200, steps[1]));
+    // What the other machines' clocks told when it started.
+    entry["started_ms"] = json!(stepped(200, 0.0).unix_ms - started * 1e3);
+    names.take(list(2, vec![entry]), now, heard.map(|second| second * 1_000 * MS));
+    let row = names.iter().next().unwrap().1.row;
+    (now.module() - row.ready_at) as f64 / 1e9
+}
+
+#[rstest]
+#[case::no_step([0.0, 0.0], 3.0, Some(198), 3.0)]
+#[case::an_hour_forward([0.0, 3_600.0], 3.0, Some(198), 3.0)]
+#[case::a_second_back([0.0, -1.0], 3.0, Some(198), 2.0)]
+#[case::an_hour_back([0.0, -3_600.0], 3.0, Some(198), 0.0)]
+#[case::stepped_before_the_start([3_600.0, 3_600.0], 3.0, Some(198), 8.0)]
+#[case::first_heard_of_at_the_start([0.0, 0.0], 300.0, None, 300.0)]
+fn a_step_of_the_wall_clock_makes_no_cold_server_warm(
+    #[case] steps: [f64; 2],
+    #[case] started: f64,
+    #[case] heard: Option<u64>,
+    #[case] age: f64,
+) {
+    assert!((age_at_listing(steps, started, heard) - age).abs() < 1e-3);
+}
--- a/crates/node/tests/deadlines.rs
+++ b/crates/node/tests/deadlines.rs
@@ -166,3 +166,52 @@
     let least = (0..setting.proxies).map(|id| platform.held_by(id)).min();
     assert_eq!(least, Some(setting.servers as usize - 30));
 }
+
+/// It hears of the list and the proxies anew, and of servers that are gone since.
+#[rstest]
+fn a_module_that_begins_anew_still_owes_what_was_told() {
+    let setting = Setting { grace: 5 * SECOND, ..Setting::default() };
+    let mut platform = settled(&setting, 9);
+    all_come(&mut platform, &setting, SECOND);
+    platform.pass(40 * SECOND);
+    platform.fail_module();
+    platform.list(0..30, "Gone");
+    platform.pass(12 * SECOND);
+    kept(&platform.verdict, &setting);
+}
+
+/// What a supervisor knows at its start is old; all proxies come before discovery has told what changed since.
+#[rstest]
+fn a_restarted_supervisor_hears_late_and_in_pieces() {
+    let setting = Setting { grace: 3 * SECOND, ..Setting::default() };
+    let mut platform = Platform::new(setting.clone(), 10);
+    all_come(&mut platform, &setting, SECOND);
+    platform.pass(2 * SECOND);
+    for piece in [0..10, 10..20, 20..30] {
+        platform.list(piece, "Gone");
+        platform.pass(400 * MS);
+    }
+    platform.list(30..45, "Terminating");
+    platform.pass(8 * SECOND);
+    kept(&platform.verdict, &setting);
+}
+
+#[rstest]
+fn bad_input_leaves_what_is_owed_to_others_alone() {
+    let setting = Setting { grace: 3 * SECOND, ..Setting::default() };
+    let mut platform = settled(&setting, 11);
+    platform.spoilt_entries = vec![
+        platform::server(31, "Terminating", 0.0),
+        platform::server(31, "Terminating", 0.0),
+        serde_json::json!({"id": "s32", "state": "Terminating"}),
+        serde_json::json!(7),
+    ];
+    platform.list(0..30, "Terminating");
+    all_come(&mut platform, &setting, SECOND);
+    for id in 0..setting.proxies {
+        platform.answer_unasked(id);
+    }
+    platform.pass(8 * SECOND);
+    kept(&platform.verdict, &setting);
+    assert!((0..setting.proxies).all(|id| !platform.holds(id, 31)), "named twice it drains all the same");
+}
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -169,6 +169,8 @@
     broken: BTreeSet<(u32, String)>,
     pub verdict: Verdict,
     pub log: Vec<String>,
+    /// Stand in every list behind what it tells.
+    pub spoilt_entries: Vec<Value>,
 }
 
 impl Platform {
@@ -191,6 +193,7 @@
             broken: BTreeSet::new(),
             verdict: Verdict::default(),
             log: Vec::new(),
+            spoilt_entries: Vec::new(),
         };
         platform.turn();
         platform
@@ -272,6 +275,18 @@
         self.core.bytes(conn, format!("{hello}\n").as_bytes(), self.clocks());
     }
 
+    /// The decision module fails on its next reply.
+    pub fn fail_module(&mut self) {
+        self.core.failed("planted".into(), self.now);
+    }
+
+    /// An answer to a mark that was never sent.
+    pub fn answer_unasked(&mut self, id: u32) {
+        let conn = self.proxies[&id].conn.unwrap();
+        let ack = json!({"t": "ack", "id": id, "seq": 60_000, "ms": 1.0});
+        self.core.bytes(conn, format!("{ack}\n").as_bytes(), self.clocks());
+    }
+
     pub fn vanish(&mut self, id: u32) {
         self.proxies.get_mut(&id).unwrap().vanished = true;
     }
@@ -290,6 +305,7 @@
                 self.unready.entry(name(at)).or_insert(self.now);
             }
         }
+        entries.extend(self.spoilt_entries.iter().cloned());
         let line = format!("{}\n", json!({"version": self.version, "full": false, "servers": entries}));
         let chunk = format!("{:x}\r\n{line}\r\n", line.len());
         self.core.bytes(DISCOVERY, chunk.as_bytes(), self.clocks());
@@ -379,4 +395,9 @@
         let proxy = &self.proxies[&id];
         proxy.table.iter().filter(|server| proxy.uses(server)).count()
     }
+
+    /// May this proxy pick this server?
+    pub fn holds(&self, id: u32, server: u32) -> bool {
+        self.proxies[&id].uses(&name(server))
+    }
 }
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -71,7 +71,7 @@
         })
         .collect();
     let mut names = Names::new(vec!["z".into()], vec!["k".into()]);
-    names.take(List { version: 1, full: true, servers }, Clocks { now: 1, unix_ms: 9e9 });
+    names.take(List { version: 1, full: true, servers }, Clocks { now: 1, unix_ms: 9e9 }, None);
     names
 }
 
