Try again what the kernel refuses for a moment; answer what was read before a stop

Cause: after ENFILE or ENOBUFS at accept the listener waited until some connection ended, under long streams for good; an interrupted read or write ended its connection, an interrupted read of a signal's pipe lost the signal; SIGTERM dropped answers to what had been read in the same turn.

Change: Hub tries again after 50 ms, told once; EINTR is made again; ENOBUFS and ENOMEM at a read or write are retried; a connect that is interrupted goes on; Hub::flush before the process ends.

--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -41,6 +41,7 @@
     let place = |panic: &std::panic::PanicHookInfo<'_>| tracing::error!("{panic}");
     std::panic::set_hook(Box::new(place));
     let mut core: Core<ConnId> = Core::new(start, clocks());
+    let mut stopping = false;
     loop {
         core.turn(clocks());
         carry_out(&mut core, &mut hub);
@@ -51,13 +52,17 @@
                 Input::Closed { conn, why } => core.closed(conn, &why, now()),
                 Input::Reload => reload(file, 0, &mut core, &mut hub),
                 Input::Due(tries) => reload(file, tries, &mut core, &mut hub),
-                Input::Stop => {
-                    tracing::info!("stopped by a signal");
-                    return Ok(());
-                }
+                // What was read before, or in the same turn, still gets its answer.
+                Input::Stop => stopping = true,
                 _ => {}
             }
         }
+        if stopping {
+            carry_out(&mut core, &mut hub);
+            hub.flush();
+            tracing::info!("stopped by a signal");
+            return Ok(());
+        }
     }
 }
 
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -7,7 +7,7 @@
 mod socket;
 mod timers;
 
-pub use socket::{dial, dial_given, Listener, Socket};
+pub use socket::{dial, dial_given, is_momentary, Listener, Socket};
 pub use timers::{TimerId, Timers};
 
 use std::io;
--- a/crates/reactor/src/socket.rs
+++ b/crates/reactor/src/socket.rs
@@ -5,9 +5,30 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use rustix::io::Errno;
 use rustix::net::{self, sockopt, AddressFamily, SocketFlags, SocketType};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+/// A call that a signal interrupts is made again at once, so many times in a row.
+const INTERRUPTIONS: u32 = 16;
+
+/// Makes a call again that a signal has interrupted. Errors: the call's, and that it goes on being interrupted.
+pub(crate) fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    for _ in 0..INTERRUPTIONS {
+        match call() {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            other => return other,
+        }
+    }
+    Err(io::ErrorKind::Interrupted.into())
+}
+
+/// Does the kernel lack something for a moment? The call is to be made again after a while, and readiness may not tell when.
+pub fn is_momentary(error: &io::Error) -> bool {
+    let errno = error.raw_os_error().map(Errno::from_raw_os_error);
+    matches!(errno, Some(Errno::NOBUFS | Errno::NOMEM)) || error.kind() == io::ErrorKind::Interrupted
+}
+
 /// Bytes read from one socket before others have their turn.
 const TURN: usize = 256 * 1024;
 
@@ -43,7 +64,7 @@
 
     /// The next connection that waits, if any.
     pub fn accept(&self) -> io::Result<Option<Socket>> {
-        match self.0.accept() {
+        match uninterrupted(|| self.0.accept()) {
             Ok((stream, _)) => Socket::new(stream).map(Some),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(None),
             Err(error) => Err(error),
@@ -72,7 +93,8 @@
     let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
     let fd = net::socket_with(family, SocketType::STREAM, flags, None)?;
     match net::connect(&fd, &address) {
-        Ok(()) | Err(rustix::io::Errno::INPROGRESS) => Socket::connecting(TcpStream::from(fd)),
+        // One that a signal interrupts goes on by itself.
+        Ok(()) | Err(Errno::INPROGRESS | Errno::INTR) => Socket::connecting(TcpStream::from(fd)),
         Err(error) => Err(error.into()),
     }
 }
@@ -150,7 +172,7 @@
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let read = self.stream.read(buf.initialize_unfilled());
+        let read = uninterrupted(|| self.stream.read(buf.initialize_unfilled()));
         match self.polled(read) {
             Poll::Ready(Ok(count)) => {
                 buf.advance(count);
@@ -168,7 +190,7 @@
 
 impl AsyncWrite for Socket {
     fn poll_write(mut self: Pin<&mut Self>, _: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = self.stream.write(buf);
+        let written = uninterrupted(|| self.stream.write(buf));
         self.polled(written)
     }
 
@@ -177,7 +199,7 @@
         _: &mut Context<'_>,
         pieces: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = self.stream.write_vectored(pieces);
+        let written = uninterrupted(|| self.stream.write_vectored(pieces));
         self.polled(written)
     }
 
--- a/crates/rpc/src/hub.rs
+++ b/crates/rpc/src/hub.rs
@@ -9,8 +9,8 @@
 
 use bytes::{Buf, Bytes};
 use shalereel_reactor::{
-    dial, dial_given, now, reload_signals, stop_signals, Listener, Nanos, Reactor, Socket, TimerId, Timers,
-    Token,
+    dial, dial_given, is_momentary, now, reload_signals, stop_signals, Listener, Nanos, Reactor, Socket,
+    TimerId, Timers, Token, MILLI,
 };
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
@@ -82,11 +82,13 @@
     out: VecDeque<Bytes>,
     /// The peer has ended its side in order.
     half_closed: bool,
+    /// The kernel refused a read or a write for a moment.
+    refused: bool,
 }
 
 impl Plain {
     fn new(socket: Socket) -> Self {
-        Plain { socket, out: VecDeque::new(), half_closed: false }
+        Plain { socket, out: VecDeque::new(), half_closed: false, refused: false }
     }
 
     fn waiting(&self) -> usize {
@@ -98,6 +100,10 @@
         while let Some(first) = self.out.front_mut() {
             match Pin::new(&mut self.socket).poll_write(cx, first) {
                 Poll::Ready(Ok(count)) => first.advance(count),
+                Poll::Ready(Err(error)) if is_momentary(&error) => {
+                    self.refused = true;
+                    break;
+                }
                 Poll::Ready(Err(error)) => return Err(error),
                 Poll::Pending => break,
             }
@@ -132,6 +138,10 @@
                     return Poll::Ready("closed by the peer".into());
                 }
                 Poll::Ready(Ok(())) => came.push(Bytes::copy_from_slice(buffer.filled())),
+                Poll::Ready(Err(error)) if is_momentary(&error) => {
+                    self.refused = true;
+                    return Poll::Pending;
+                }
                 Poll::Ready(Err(error)) => return Poll::Ready(error.to_string()),
                 Poll::Pending => return Poll::Pending,
             }
@@ -146,6 +156,25 @@
     paused: bool,
 }
 
+/// What the kernel refuses for a moment is tried again after so long: no readiness tells when it would go.
+const RETRY_AFTER: Nanos = 50 * MILLI;
+/// Connections in a row that may end before they are accepted until others have their turn.
+const ABORTED_IN_A_ROW: u32 = 64;
+
+/// What is to be tried again, and when.
+#[derive(Default)]
+struct Retries {
+    at: Option<Nanos>,
+    conns: BTreeSet<ConnId>,
+    listeners: BTreeSet<Token>,
+}
+
+impl Retries {
+    fn schedule(&mut self) {
+        self.at.get_or_insert_with(|| now() + RETRY_AFTER);
+    }
+}
+
 /// All sockets and timers of a process, and the one loop that waits on them.
 pub struct Hub<L, K> {
     reactor: Reactor,
@@ -164,6 +193,7 @@
     lines: Option<(Token, io::Stdin, Vec<u8>)>,
     nudges: Option<(Token, UnixStream)>,
     bounds: Bounds,
+    retries: Retries,
 }
 
 struct Door<L> {
@@ -174,6 +204,22 @@
     /// Someone may wait whom there was no room for, and no readiness will tell of them again: they are accepted
     /// once fewer connections than this stand.
     starved: Option<usize>,
+    /// The last try to accept failed, and that was logged.
+    failing: bool,
+}
+
+/// Empties a pipe that wakes the loop; did it hold anything? An interrupted read is made again: no further
+/// readiness tells of what it left.
+fn holds_bytes(pipe: &mut UnixStream) -> bool {
+    let mut some = false;
+    loop {
+        match pipe.read(&mut [0; 64]) {
+            Ok(0) => return some,
+            Ok(_) => some = true,
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(_) => return some,
+        }
+    }
 }
 
 impl<L: Clone, K> Hub<L, K> {
@@ -193,6 +239,7 @@
             lines: None,
             nudges: None,
             bounds,
+            retries: Retries::default(),
         })
     }
 
@@ -259,7 +306,8 @@
 
     fn open(&mut self, listener: Listener, name: L, plain: bool) -> io::Result<(Token, SocketAddr)> {
         let (token, address) = (self.reactor.add(&listener)?, listener.address()?);
-        self.listeners.insert(token, Door { listener, name, paused: false, plain, starved: None });
+        self.listeners
+            .insert(token, Door { listener, name, paused: false, plain, starved: None, failing: false });
         Ok((token, address))
     }
 
@@ -398,6 +446,17 @@
         let _ = if abrupt { socket.reset_at_close() } else { socket.shut() };
     }
 
+    /// Writes what the kernel takes of what waits on plain connections, before a process ends.
+    pub fn flush(&mut self) {
+        for conn in std::mem::take(&mut self.touched) {
+            let waker = self.reactor.waker(conn.0);
+            if let Some(Speech::Plain(plain)) = self.conns.get_mut(&conn).map(|held| &mut held.speech) {
+                // Who is gone needs no answer.
+                let _ = plain.write(&mut Context::from_waker(&waker));
+            }
+        }
+    }
+
     /// While paused, nothing is read from it nor written to it.
     pub fn pause(&mut self, conn: ConnId, paused: bool) {
         if let Some(held) = self.conns.get_mut(&conn) {
@@ -424,12 +483,13 @@
                 self.poll(conn);
             }
             self.accept_starved();
+            self.retry();
             let time = now();
             while let Some(key) = self.timers.due(time) {
                 self.ready.push_back(Input::Due(key));
             }
             let idle = self.ready.is_empty();
-            let next = self.timers.next().into_iter().chain(until).min();
+            let next = self.timers.next().into_iter().chain(until).chain(self.retries.at).min();
             for token in self.reactor.wait(if idle { next } else { Some(0) })? {
                 self.woken(token)?;
             }
@@ -445,23 +505,15 @@
         } else if self.listeners.contains_key(&token) {
             self.accept(token);
         } else if let Some((signal, stream)) = &mut self.signals {
-            if *signal == token && stream.read(&mut [0; 8]).is_ok_and(|count| count > 0) {
+            if *signal == token && holds_bytes(stream) {
                 self.ready.push_back(Input::Stop);
             }
         }
         if let Some((_, stream)) = self.reloads.as_mut().filter(|(signal, _)| *signal == token) {
-            let mut some = false;
-            while stream.read(&mut [0; 8]).is_ok_and(|count| count > 0) {
-                some = true;
-            }
-            self.ready.extend(some.then_some(Input::Reload));
+            self.ready.extend(holds_bytes(stream).then_some(Input::Reload));
         }
         if let Some((_, stream)) = self.nudges.as_mut().filter(|(nudged, _)| *nudged == token) {
-            let mut some = false;
-            while stream.read(&mut [0; 64]).is_ok_and(|count| count > 0) {
-                some = true;
-            }
-            self.ready.extend(some.then_some(Input::Nudged));
+            self.ready.extend(holds_bytes(stream).then_some(Input::Nudged));
         }
         self.take_lines(token);
         Ok(())
@@ -506,7 +558,22 @@
         }
     }
 
+    /// Tries again what the kernel refused for a moment, once it is due.
+    fn retry(&mut self) {
+        if self.retries.at.is_none_or(|at| at > now()) {
+            return;
+        }
+        let Retries { conns, listeners, .. } = std::mem::take(&mut self.retries);
+        for listener in listeners {
+            self.accept(listener);
+        }
+        for conn in conns {
+            self.poll(conn);
+        }
+    }
+
     fn accept(&mut self, token: Token) {
+        let mut aborted = 0;
         while let Some(door @ Door { paused: false, .. }) = self.listeners.get_mut(&token) {
             door.starved = (self.conns.len() >= self.most).then_some(self.most);
             if door.starved.is_some() {
@@ -515,6 +582,7 @@
             let (name, plain) = (door.name.clone(), door.plain);
             match door.listener.accept() {
                 Ok(Some(socket)) => {
+                    door.failing = false;
                     let held = if plain {
                         self.hold(socket, false, |socket, _| Speech::Plain(Plain::new(socket)))
                     } else {
@@ -527,11 +595,20 @@
                     }
                 }
                 Ok(None) => return,
-                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(error)
+                    if error.kind() == io::ErrorKind::ConnectionAborted && aborted < ABORTED_IN_A_ROW =>
+                {
+                    aborted += 1;
+                }
                 Err(error) => {
-                    // Out of descriptors: the rest waits in the kernel until a connection has ended.
+                    // The rest waits in the kernel. It goes on when a connection has ended, or by itself: a lack of
+                    // descriptors or of memory may be the whole machine's, and pass while all of ours stand.
                     door.starved = Some(self.conns.len().max(1));
-                    return tracing::warn!(%error, "a connection could not be accepted");
+                    if !std::mem::replace(&mut door.failing, true) {
+                        tracing::warn!(%error, "a connection could not be accepted; it is tried again");
+                    }
+                    self.retries.listeners.insert(token);
+                    return self.retries.schedule();
                 }
             }
         }
@@ -560,6 +637,10 @@
                 let mut came = Vec::new();
                 let over = plain.poll(&mut cx, &mut came, self.bounds.unread);
                 self.ready.extend(came.into_iter().map(|bytes| Input::Bytes { conn: id, bytes }));
+                if std::mem::take(&mut plain.refused) {
+                    self.retries.conns.insert(id);
+                    self.retries.schedule();
+                }
                 over
             }
         };
