Let a new module take over what waits in the channel; drawn schedules of joins and drains

Cause: a module that begins anew counted the channel as empty, and filled it beyond its limit (7,582 lines of 6,561 in a schedule with a channel at 0.6 of its pace).

Change: Event::Backlog, from the lines of messages that nobody has answered. schedules.rs draws joins in waves, drains, returns, losses, silent proxies, lost answers, a slow channel, failures of the module; no deadline may be missed where a plan at half the channel's pace keeps all.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -636,7 +636,8 @@
                 self.timers.set(at, due);
             }
         }
-        let mut events = vec![Event::Roster(RosterNews::Full(self.names.rows()))];
+        let lines = self.streams.unanswered(self.facts.message_overhead);
+        let mut events = vec![Event::Backlog { lines }, Event::Roster(RosterNews::Full(self.names.rows()))];
         let rate = 0.0;
         events.extend(self.streams.proxies().map(|proxy| Event::Joined {
             proxy,
--- a/crates/node/src/names.rs
+++ b/crates/node/src/names.rs
@@ -172,6 +172,7 @@
                 self.last += 1;
                 let name: Arc<str> = Arc::from(id.as_str());
                 self.numbers.insert(name.clone(), self.last);
+                tracing::debug!(server = %name, number = self.last, "numbered");
                 let row = RosterRow { server: self.last, ..RosterRow::default() };
                 let (started_ms, returned) = (f64::NAN, entry.started_ms > 0.0);
                 let server = Server { name, address, row, started_ms, returned, left_at: None };
--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -37,8 +37,8 @@
     shut: BTreeSet<ServerId>,
     /// Servers of which it has our word on this stream, out or back: what it brought along does not count.
     settled: BTreeSet<ServerId>,
-    /// Marks that it has not answered, in the order in which they were sent.
-    marks: VecDeque<u64>,
+    /// Marks that it has not answered, in the order in which they were sent, with the lines of their messages.
+    marks: VecDeque<(u64, u64)>,
 }
 
 /// What one operation of one stream is to be told.
@@ -132,7 +132,7 @@
     /// tells that all up to its mark is applied, and the answer to an earlier one may have been lost or spoilt.
     pub fn answered(&mut self, proxy: ProxyId, mark: u64) -> bool {
         let Some(stream) = self.joined.get_mut(&proxy) else { return false };
-        let Some(at) = stream.marks.iter().position(|&known| known == mark) else { return false };
+        let Some(at) = stream.marks.iter().position(|&(known, _)| known == mark) else { return false };
         stream.marks.drain(..=at);
         true
     }
@@ -142,6 +142,12 @@
         self.joined.get(&proxy).is_some_and(|stream| !stream.marks.is_empty())
     }
 
+    /// Lines of messages that nobody has answered, with so many for each message's head.
+    pub fn unanswered(&self, overhead: f64) -> f64 {
+        let marks = self.joined.values().flat_map(|stream| &stream.marks);
+        marks.map(|&(_, lines)| lines as f64 + overhead).sum()
+    }
+
     /// Is a server still named by a table, or shut out?
     pub fn names(&self, server: ServerId) -> bool {
         self.tables.values().any(|table| table.lines.contains_key(&server))
@@ -325,7 +331,6 @@
             if silent && ticket.is_none() {
                 continue;
             }
-            stream.marks.extend(ticket);
             let content = Content { tellings, out, back, ticket };
             counts.messages += 1;
             counts.out += content.out.len() as u64;
@@ -334,6 +339,7 @@
                 encode(content, &Known { tables, gates, draft: &draft, names, classes })
             });
             counts.lines += *lines;
+            stream.marks.extend(ticket.map(|ticket| (ticket, *lines)));
             messages.push((proxy, bytes.clone()));
         }
         messages
--- a/crates/node/tests/deadlines.rs
+++ b/crates/node/tests/deadlines/main.rs
@@ -14,6 +14,7 @@
 //!   19.943 s  list version 14: server gone; decided orders=[] until 28 s; a proxy sent to it 6.63 s after (grace 6.3 s)
 
 mod platform;
+mod schedules;
 
 use platform::{name, Platform, Setting, Verdict, SECOND};
 use rstest::rstest;
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/deadlines/platform.rs
@@ -317,6 +317,9 @@
         let until = self.now + span;
         while self.now < until {
             self.now += 20 * MS;
+            if self.now.is_multiple_of(2 * SECOND) {
+                self.core.bytes(DISCOVERY, b"1\r\n\n\r\n", self.clocks());
+            }
             self.deliver();
             self.turn();
             self.judge();
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -756,6 +756,7 @@
                 (Part::Channel, Note::Joined(proxy, rate, new))
             }
             Event::Left { proxy } => (Part::Channel, Note::Left(proxy)),
+            Event::Backlog { lines } => (Part::Channel, Note::Backlog(lines)),
             Event::Digest(digest) if digest.tries > 0 => (Part::Server(digest.server), Note::Digest(digest)),
             Event::Intake { proxy, operation, total, lost, .. } => {
                 let (total, lost) = (f64::from(total), f64::from(lost));
--- a/src/channel.rs
+++ b/src/channel.rs
@@ -214,6 +214,7 @@
                 self.pacing.left(proxy);
             }
             Note::Confirmed(proxy, serial) => self.pacing.confirmed(proxy, serial, post.now),
+            Note::Backlog(lines) => self.pacing.inherit(lines, post.now),
             Note::Flush => self.flush(post),
             _ => {}
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -217,6 +217,10 @@
         remembered: Remembered,
         away: Nanos,
     },
+    /// Lines that were written to proxies before this instance began and are not answered: they may still wait.
+    Backlog {
+        lines: f64,
+    },
     Joined {
         proxy: ProxyId,
         locality: LocalityId,
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -67,6 +67,7 @@
     Came(ProxyId, f64),
     Left(ProxyId),
     Confirmed(ProxyId, u64),
+    Backlog(f64),
     Flush,
 }
 
--- a/src/pacing.rs
+++ b/src/pacing.rs
@@ -96,6 +96,12 @@
         post.orders.push(Order::FencePost { serial: self.serial, everyone: false });
     }
 
+    /// Takes over what an earlier instance wrote and nobody has answered.
+    pub(crate) fn inherit(&mut self, lines: f64, now: Nanos) {
+        self.waiting(now);
+        self.waiting = self.waiting.max(lines);
+    }
+
     pub(crate) fn waiting(&mut self, now: Nanos) -> f64 {
         let elapsed = now.saturating_sub(self.at) as f64;
         self.at = now;
