--- a/src/channel.rs
+++ b/src/channel.rs
@@ -514,6 +514,18 @@
         self.members.values().any(|member| member.bound.is_none() && late(member))
     }
 
+    /// Servers on each table that were told and are still wanted, and their weight.
+    fn usable(&self) -> BTreeMap<TableId, (usize, f64)> {
+        let mut usable: BTreeMap<TableId, (usize, f64)> = BTreeMap::new();
+        for (&(table, server), &told) in self.told.iter().filter(|(_, told)| **told > 0.0) {
+            let wanted = self.wanted(table, server);
+            let (count, weight) = usable.entry(table).or_default();
+            *count += usize::from(wanted > 0.0);
+            *weight += told.min(wanted);
+        }
+        usable
+    }
+
     /// Lines whose standing value differs enough, those that keep a rule first, then withdrawals, then by how
     /// much of the work they move.
     pub(crate) fn differing(&self, now: Nanos) -> Vec<Change> {
@@ -522,11 +534,14 @@
         lines.extend(self.wants.keys().map(|&server| (WHOLE, server)));
         let binds = self.wants.iter().filter(|(_, want)| warns && want.binds);
         lines.extend(binds.map(|(&server, _)| (SHUNNED, server)));
-        let mut usable: BTreeMap<TableId, usize> = BTreeMap::new();
-        for &(table, server) in self.told.iter().filter(|(_, told)| **told > 0.0).map(|(line, _)| line) {
-            *usable.entry(table).or_default() += usize::from(self.wanted(table, server) > 0.0);
-        }
-        let bare = |table: TableId| usable.get(&table).is_none_or(|&count| count < LEAST_USABLE);
+        let usable = self.usable();
+        // While the channel is pressed only a table that has next to nothing left is filled at once.
+        let roomy = self.apart || self.is_calm(now);
+        let bare = |table: TableId| usable.get(&table).is_none_or(|(count, _)| *count < LEAST_USABLE);
+        let weak = |table: TableId| {
+            let held = usable.get(&table).map_or(0.0, |(_, weight)| *weight);
+            self.sizes.get(&table).is_some_and(|size| held < size / 2.0)
+        };
         let mut changes: Vec<Change> = Vec::new();
         for (table, server) in lines {
             let told = self.told.get(&(table, server)).copied().unwrap_or_default();
@@ -538,8 +553,11 @@
                 let urgent = weight < told && want.urgent;
                 // What drains goes ahead of all, out of tables first: users of a table shun what it still holds.
                 let moved = if want.binds { f64::MAX / (1.0 + f64::from(table)) } else { moved };
-                let fills = table > WHOLE && weight > told && (bare(table) || table == SHUNNED);
-                let rank = if urgent || fills { 0 } else { 1 + u8::from(weight > 0.0) };
+                let adds = told == 0.0 && weight > 0.0 && table > WHOLE;
+                let missed = bare(table) || (roomy && weak(table) && !want.urgent);
+                let fills = (adds && missed) || (table == SHUNNED && weight > told);
+                let rank =
+                    if urgent || fills { 0 } else { 1 + u8::from(weight > 0.0 && (self.apart || !adds)) };
                 changes.push(Change { table, server, weight, rank, moved, again });
             }
         }
@@ -625,7 +643,8 @@
         if changes.is_empty() && gates.is_empty() {
             return sent == owed;
         }
-        self.flushed = if prompt { now } else { self.flushed };
+        let ordinary_sent = changes.iter().any(|change| change.rank > 0) || !gates.is_empty();
+        self.flushed = if ordinary_sent { now } else { self.flushed };
         self.enter(&changes, &sending, now);
         for change in &changes {
             self.order_line(change, post);
--- a/src/pacing.rs
+++ b/src/pacing.rs
@@ -10,6 +10,8 @@
 const SLOWEST: f64 = 12.0;
 /// Answers that do not fit the learned pace move it by this part.
 const PACE_GAIN: f64 = 0.5;
+/// What half of fewer messages than this show may be the proxies' own lateness.
+const LEAST_MESSAGES: usize = 4;
 
 /// The marked messages of one reply: when they were ordered, their lines, how many they are, and who has not
 /// answered.
@@ -134,7 +136,7 @@
     /// was answered before tells nothing of the channel: its fence is gone by then.
     fn observe(&mut self, serial: u64, now: Nanos) {
         let Some(fence) = self.fenced.get(&serial) else { return };
-        if fence.open.len() != fence.messages / 2 {
+        if fence.open.len() != fence.messages / 2 || fence.messages < LEAST_MESSAGES {
             return;
         }
         let told = (fence.ahead - fence.unanswered()).max(self.overhead) / self.lines_per_ns;
--- a/src/subsets.rs
+++ b/src/subsets.rs
@@ -172,14 +172,24 @@
                 self.strong.insert(table);
                 continue;
             }
-            // Each table begins elsewhere, and takes none that follow each other before all others.
-            let (first, groups) = (usize::from(table - first_table), self.sizes.len());
-            let spread = sound.iter().skip(first % groups).step_by(groups).chain(&sound);
-            for (server, weight) in spread {
-                if sum < *size && self.parts.insert((table, *server)) {
+            let at = usize::from(table - first_table);
+            for (server, weight) in self.refill_order(&sound, at) {
+                if sum < *size && self.parts.insert((table, server)) {
                     sum += weight;
                 }
             }
         }
     }
+
+    /// The order in which a table takes more servers. Tables that keep proxies apart take neighbours, so that each
+    /// server meets few proxies; those that stand in take none that follow each other before all others.
+    fn refill_order(&self, sound: &[(ServerId, f64)], at: usize) -> Vec<(ServerId, f64)> {
+        let tables = self.sizes.len();
+        if self.dealt_apart {
+            let first = sound.len() * at / (tables + 1);
+            sound.iter().cycle().skip(first).take(sound.len()).copied().collect()
+        } else {
+            sound.iter().skip(at % tables).step_by(tables).chain(sound).copied().collect()
+        }
+    }
 }
