--- a/crates/guard/src/look.rs
+++ b/crates/guard/src/look.rs
@@ -51,6 +51,8 @@
     pub(crate) tip_multiple: f64,
     /// How often a refusal that lasts is said, and after how long ratios yield.
     pub(crate) patience: Nanos,
+    /// How long a table may keep a line to a server that has begun to drain or is gone, before it is looked at again.
+    pub(crate) closing: Nanos,
 }
 
 impl Limits {
@@ -61,9 +63,16 @@
             tip_multiple: facts.tip_multiple,
             // What a table did shows within a round of reports; two are enough to know that nothing changes.
             patience: 2 * (facts.report_cycle + facts.worst_transit),
+            // Whoever makes the table has half of the grace, what the guard shuts travels in the other.
+            closing: facts.drain_grace / 2,
         }
     }
 
+    /// When a table is looked at for servers that have begun to drain, or are gone, now.
+    pub fn look_at(&self, now: Nanos) -> Nanos {
+        now + self.closing
+    }
+
     /// Part of its capacity that a server has by now; 1: warm.
     pub fn able(&self, server: &Server) -> f64 {
         match server.age {
--- a/crates/guard/src/tests.rs
+++ b/crates/guard/src/tests.rs
@@ -8,7 +8,7 @@
 const SECOND: Nanos = 1_000_000_000;
 
 fn limits() -> Limits {
-    Limits { cold_from: 0.25, cold_for: 8 * SECOND, tip_multiple: 2.5, patience: 4 * SECOND }
+    Limits { cold_from: 0.25, cold_for: 8 * SECOND, tip_multiple: 2.5, patience: 4 * SECOND, closing: SECOND }
 }
 
 /// Twelve servers of one size. `out`: draining or gone; `cold`: started a moment ago.
--- a/crates/supervisor/src/core.rs
+++ b/crates/supervisor/src/core.rs
@@ -789,6 +789,7 @@
             &facts(&self.roster, &self.deployment, &self.parts, now, self.wall),
             &Why::new("list", "servers are met at other addresses"),
         );
+        self.owe_corrections();
         self.repeat(now);
         self.put_beside(now);
         while let Some(departure) = self.channel.depart(now) {
@@ -811,6 +812,16 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// What the guard has shut by itself: no order concerns its users, and the next one may come after the grace.
+    fn owe_corrections(&mut self) {
+        for (table, lines) in self.tables.corrected() {
+            let uses = |proxy: &Proxy| proxy.tables.values().any(|&at| at == table);
+            for (&id, _) in self.proxies.iter().filter(|(_, proxy)| uses(proxy)) {
+                owe(&mut self.owed, id, lines);
+            }
+        }
+    }
+
     /// Lines that were told and that nobody confirmed are owed again.
     fn repeat(&mut self, now: Nanos) {
         for (&id, proxy) in &mut self.proxies {
--- a/crates/supervisor/src/roster.rs
+++ b/crates/supervisor/src/roster.rs
@@ -40,6 +40,8 @@
     by_address: BTreeMap<SocketAddr, ServerId>,
     localities: Vec<String>,
     version: u64,
+    /// Grows whenever a server begins to drain or is listed no more.
+    closings: u64,
     /// Addresses of servers that were said, by themselves or a balancer, to take nothing new.
     quiesced: BTreeSet<SocketAddr>,
     /// Servers that said of themselves that they are there, and that no registry lists: their numbers.
@@ -91,6 +93,7 @@
         for (_, place) in
             self.places.iter_mut().filter(|(server, _)| !present.contains(server) && **server < THEMSELVES)
         {
+            self.closings += u64::from(place.listed && !place.draining);
             place.listed = false;
         }
         RosterNews::Full(self.rows())
@@ -102,6 +105,9 @@
             self.version += 1;
             self.by_address.insert(place.address, server);
         }
+        let open = |place: &Place| place.listed && !place.draining;
+        let closes = !open(&place) && self.places.get(&server).is_some_and(open);
+        self.closings += u64::from(closes);
         self.places.insert(server, place);
     }
 
@@ -228,6 +234,10 @@
     }
 
     /// Grows whenever a server is met at another address.
+    pub fn closings(&self) -> u64 {
+        self.closings
+    }
+
     pub fn version(&self) -> u64 {
         self.version
     }
--- a/crates/supervisor/src/tables.rs
+++ b/crates/supervisor/src/tables.rs
@@ -68,12 +68,15 @@
     pub store: Store,
     /// Version of the roster that the lines' addresses are of.
     placed: u64,
+    closings: u64,
     /// Planted: a way back outranks the module.
     outranks: bool,
     limits: Option<Limits>,
     /// Sizes are told: without, all count as one.
     sized: bool,
     gone_binds: bool,
+    /// Lines that the guard has shut by itself, by table.
+    corrected: BTreeMap<TableId, usize>,
     /// What the guard has to say.
     words: Vec<String>,
     /// Encoded tables by level; operations with one level differ in the name alone.
@@ -110,10 +113,12 @@
             last: 0,
             store: Store::new(bounds, facts.seed),
             placed: 0,
+            closings: 0,
             outranks,
             limits: guarded.then(|| Limits::new(facts)),
             sized: facts.listed_size == ListedSize::Nominal,
             gone_binds: !facts.gone_does_not_bind,
+            corrected: BTreeMap::new(),
             words: Vec::new(),
             rendered: BTreeMap::new(),
         }
@@ -298,6 +303,11 @@
         servers.into_iter().map(|(id, server)| (id, (server, able(&server)))).collect()
     }
 
+    /// Lines that the guard has shut since it was last asked though no order did: their users are owed them.
+    pub fn corrected(&mut self) -> BTreeMap<TableId, usize> {
+        std::mem::take(&mut self.corrected)
+    }
+
     /// What the guard has said since it was last asked.
     pub fn words(&mut self) -> Vec<String> {
         std::mem::take(&mut self.words)
@@ -355,11 +365,21 @@
     /// Makes a version of each table whose lines have changed.
     pub fn publish(&mut self, facts: &Facts, why: &Why) {
         let moved = std::mem::replace(&mut self.placed, facts.roster.version()) != facts.roster.version();
+        let closed =
+            std::mem::replace(&mut self.closings, facts.roster.closings()) != facts.roster.closings();
         let mut pool = None;
         for (&id, table) in &mut self.tables {
             if moved {
                 table.touched.extend(table.lines.keys());
             }
+            if let Some(limits) = self.limits.filter(|_| closed) {
+                // Should nobody take these out, nothing else may come to be judged before the grace is over.
+                let open = |(_, line): &(ServerId, &Line)| !line.draining;
+                let lines = self.store.lines(id).filter(open).map(|(server, _)| server);
+                table.back.extend(lines.filter(|&server| facts.roster.draining(server)));
+                let look_at = limits.look_at(facts.now);
+                table.again_at = Some(table.again_at.map_or(look_at, |at| at.min(look_at)));
+            }
             if table.again_at.is_some_and(|at| at <= facts.now) || !table.touched.is_empty() {
                 table.again_at = None;
                 table.touched.append(&mut table.back);
@@ -407,6 +427,14 @@
                 });
                 pool.part = facts.parts.get(&id).copied().unwrap_or(if id == 0 { 1.0 } else { 0.0 });
                 let judged = judge(guard, facts.now, pool, &self.store, id, &mut lines);
+                let open =
+                    |server: &&ServerId| self.store.line(id, **server).is_some_and(|line| !line.draining);
+                let shut = judged.shut.iter().filter(open).count();
+                if shut > 0 {
+                    self.last += 1;
+                    table.version = self.last;
+                    *self.corrected.entry(id).or_default() += shut;
+                }
                 self.words.extend(said(id, &judged, facts.now));
                 table.again_at = guard.again(facts.now).filter(|_| !judged.held.is_empty());
                 table.back = judged.held;
--- a/crates/supervisor/tests/core.rs
+++ b/crates/supervisor/tests/core.rs
@@ -73,7 +73,11 @@
 
 impl World {
     fn new(kept: Option<&[u8]>) -> Self {
-        let deployment = Deployment::parse(Path::new("file"), FILE).unwrap();
+        World::of(FILE, kept)
+    }
+
+    fn of(file: &str, kept: Option<&[u8]>) -> Self {
+        let deployment = Deployment::parse(Path::new("file"), file).unwrap();
         let mut world = World {
             core: Core::new(deployment, SECOND, kept),
             now: SECOND,
@@ -192,6 +196,23 @@
     assert!(world.ended.is_empty());
 }
 
+/// The decisions never tell of it: what the guard shuts goes by itself, with time left of the grace of 2 s, and not with
+/// the next change of anything else, of which there is none.
+#[test]
+fn what_the_guard_shuts_is_told_within_the_grace() {
+    let mut world = World::of(&format!("planted = \"drop_suspensions\"\n{FILE}"), None);
+    world.list(&[]);
+    let mut client = world.open(7, "stock", Variant::StateOfTheWorld);
+    let message = client.want(types::ASSIGNMENT, ["view".to_owned()]);
+    world.core.said(world.now, 7, &message);
+    world.run(1500);
+    assert_eq!(ports(world.read(7, &mut client).last().unwrap()), [("view".into(), 5, 0)]);
+    world.list(&[3]);
+    world.run(1200);
+    let tables = world.read(7, &mut client);
+    assert_eq!(tables.last().map(ports), Some(vec![("view".into(), 5, 1)]));
+}
+
 #[test]
 fn a_channel_keeps_its_pace_and_a_newer_state_is_said_once() {
     let mut world = World::new(None);
