--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,56 +1,92 @@
-"""Three of fifteen servers, all those of one zone, fail fast; a class keeps to the proxy's zone (rule 1)."""
+"""A rolling deploy at a site that limits messages; the supervisor dies once and comes back. Are drains kept (rule 3)?"""
 import asyncio, json, os, shutil, sys, tempfile, time
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "common"))
 from plat import Platform, Proxy, Record, Supervisor, config, free_port, run, settings
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-WARM_UP, BAD_FOR, AFTER = 15.0, 20.0, 5.0
-ZONES = [0, 1] * 6 + [2] * 3          # 15 servers: six, six and three in the zones
-PROXIES, RATE = 12, 130.0
-BAD_ZONE, FAILS = 2, 0.85
+SERVERS, PROXIES, RATE = 30, 36, 200.0
+LIMIT, OVER = 30, 10.0                       # at most 30 messages to one proxy in 10 s
+DEPLOY_AT, BATCH, EVERY, DRAINS_FOR, ADDED_AFTER, STEPS = 15.0, 2, 4.5, 4.0, 1.0, 8
+DIES_AT, AWAY, LENGTH = 22.0, 4.0, 60.0
 
 
 class Day(Platform):
     def __init__(self, *args):
         super().__init__(*args)
-        self.bad = False
-        self.empty_since, self.worst, self.broken = {}, {}, []
-        self.made = {}        # (class, zone) -> served, failed, refused for want of a line
+        self.told, self.broken, self.worst, self.sent = {}, {}, {}, {}
+        self.messages = {}                   # proxy -> when its messages came
+        self.most_messages = 0
+        self.lost = self.served = 0
+        self.gone = set()
+
+    def change(self, entries):
+        at = self.discovery.change(entries)
+        for e in entries:
+            if e["state"] != "Ready":
+                self.told.setdefault(e["id"], at)
+
+    def applied(self, proxy, parts):
+        now = time.monotonic()
+        times = self.messages.setdefault(proxy.number, [])
+        times.append(now)
+        while times[0] < now - OVER:
+            times.pop(0)
+        self.most_messages = max(self.most_messages, len(times))
 
     async def requests(self, proxy):
         while not self.ending:
             await asyncio.sleep(self.rng.expovariate(proxy.rps))
-            cls = self.rng.choices(self.classes, [0.53, 0.38, 0.09])[0]
-            asyncio.ensure_future(self.request(proxy, cls))
+            asyncio.ensure_future(self.request(proxy, self.rng.choices(self.classes, [0.53, 0.38, 0.09])[0]))
 
     async def request(self, proxy, cls):
-        made = self.made.setdefault((cls, proxy.zone), [0, 0, 0])
         now = time.monotonic()
-        lines = proxy.candidates(cls)
-        usable = {s: w for s, w in lines.items() if proxy.avoid.get(s, 0) <= now}
+        usable = {s: w for s, w in proxy.candidates(cls).items() if proxy.avoid.get(s, 0) <= now}
         if not usable:
-            made[2 if not lines else 1] += 1
             return self.count(proxy, cls, False)
         server = self.rng.choices(list(usable), list(usable.values()))[0]
-        ok = not (self.bad and self.zone_of(server) == self.zones[BAD_ZONE] and self.rng.random() < FAILS)
+        self.sends(proxy, server, now)
+        ok = server not in self.gone
         ms = self.rng.uniform(150, 300) if ok else 20
         await asyncio.sleep(ms / 1000)
+        self.served += ok
+        self.lost += not ok
         self.outcome(proxy, server, ok, ms)
         self.count(proxy, cls, ok)
-        made[0 if ok else 1] += 1
         proxy.in_row[server] = 0 if ok else proxy.in_row.get(server, 0) + 1
         if proxy.in_row[server] >= self.settings["family_info"]["fails_to_eject"]:
             proxy.in_row[server] = 0
             proxy.avoid[server] = time.monotonic() + self.rng.uniform(2.8, 7.6)
 
+    def sends(self, proxy, server, now):
+        """Rule 3: nothing is sent later than the grace, and 300 ms on sockets, after the supervisor was told."""
+        if server not in self.told or proxy.joined_at is None:
+            return
+        since = max(self.told[server], proxy.joined_at, self.alive_at + 1.0)
+        limit = (self.settings["invariants"]["drain_grace_ms"] + 300) / 1000
+        self.worst[server] = max(self.worst.get(server, 0), now - since)
+        if now - since > limit:
+            self.broken[server] = self.broken.get(server, 0) + 1
+            if self.broken[server] <= 3:
+                state = self.discovery.servers[server]["state"]
+                self.record(f"RULE 3 BROKEN: proxy {proxy.number} sends to {server}, {now - since:.2f} s after the supervisor was "
+                            f"told that it drains (limit {limit:.1f} s); it is listed as {state}")
+
     async def collector(self, zone, supervisor):
         """Reports on the zone's proxies each second, 200 to 1,600 ms late."""
-        _, writer = await asyncio.open_connection(*supervisor.address)
-        writer.write((json.dumps({"t": "agent", "site": zone}) + "\n").encode())
+        writer = None
         cycle = self.settings["family_info"]["cycle_ms"]
         while not self.ending:
             await asyncio.sleep(cycle / 1000)
+            try:
+                if writer is None or writer.is_closing():
+                    reader, writer = await asyncio.open_connection(*supervisor.address)
+                    writer.write((json.dumps({"t": "agent", "site": zone}) + "\n").encode())
+                if reader.at_eof():
+                    writer.close()
+                    continue
+            except OSError:
+                continue
             out = []
             for (z, server), (n, bad, ms) in list(self.sums.items()):
                 if z == zone:
@@ -65,41 +101,32 @@
             data = "".join(json.dumps(m) + "\n" for m in out).encode()
             asyncio.get_running_loop().call_later(self.rng.uniform(0.2, 1.2), writer.write, data)
 
-    def check(self, began):
-        """Rule 1: no joined proxy lacks a line for a class beyond empty_for_ms, and 300 ms more on sockets."""
-        now = time.monotonic()
-        limit = (self.settings["family_info"]["empty_for_ms"] + 300) / 1000
-        for proxy in self.proxies:
-            for cls in self.classes:
-                key = (proxy.number, cls)
-                if proxy.joined_at is None or proxy.candidates(cls):
-                    if key in self.empty_since:
-                        span = now - self.empty_since.pop(key)
-                        self.worst[key] = max(self.worst.get(key, 0), span)
-                        self.record(f"proxy {proxy.number} ({proxy.zone}), class {cls}: has a line again after {span:.2f} s")
-                    continue
-                if key not in self.empty_since:
-                    self.empty_since[key] = max(now, began + 1.0)
-                    self.record(f"proxy {proxy.number} ({proxy.zone}), class {cls}: no line left; table {proxy.tables[cls]}")
-                since = self.empty_since[key]
-                self.worst[key] = max(self.worst.get(key, 0), now - since)
-                if now - since > limit and key not in self.broken:
-                    self.broken.append(key)
-                    ready = [s for s, e in self.discovery.servers.items() if e["zone"] == proxy.zone and e["state"] == "Ready"]
-                    self.record(f"RULE 1 BROKEN: proxy {proxy.number} ({proxy.zone}) has had no line for class {cls} for over "
-                                f"{limit:.1f} s; listed as ready, open to the class and warm: {ready}")
+    async def deploy(self, old):
+        """Replaces the servers two at a time: listed as terminating, 4 s later gone, and a successor comes."""
+        for step in range(STEPS):
+            batch = [self.discovery.servers[s] for s in old[step * BATCH:(step + 1) * BATCH]]
+            self.change([dict(e, state="Terminating") for e in batch])
+            asyncio.ensure_future(self.replace(batch, step))
+            await asyncio.sleep(EVERY)
+
+    async def replace(self, batch, step):
+        await asyncio.sleep(DRAINS_FOR)
+        self.gone |= {e["id"] for e in batch}
+        self.change([dict(e, state="Gone") for e in batch])
+        await asyncio.sleep(ADDED_AFTER)
+        self.change([dict(e, id=f"t-{step:02x}{i:02x}", state="Ready", started_ms=(time.time() - ADDED_AFTER) * 1000)
+                     for i, e in enumerate(batch)])
 
 
 async def main():
     record = Record(os.path.join(HERE, "record.txt"))
     folder = tempfile.mkdtemp()
-    s = settings(home_only=[True, False, False], proxies=PROXIES)
+    s = settings(proxies=PROXIES, reloads_max=LIMIT, messages_over_ms=OVER * 1000)
     day = Day(s, record)
     day.discovery.servers = {
-        f"s-{i:02x}": {"id": f"s-{i:02x}", "addr": "127.0.0.1:9", "zone": s["localities"][z], "kind": s["kinds"][i % 3],
-                       "cell": z, "state": "Ready", "weight": 1.0, "started_ms": 0} for i, z in enumerate(ZONES)}
+        f"s-{i:02x}": {"id": f"s-{i:02x}", "addr": "127.0.0.1:9", "zone": s["localities"][i % 3], "kind": s["kinds"][i % 3],
+                       "cell": i % 5, "state": "Ready", "weight": 1.0, "started_ms": 0} for i in range(SERVERS)}
     record(f"settings: {json.dumps(s)}")
-    record(f"list: {json.dumps(day.discovery.known())}")
     await day.discovery.start()
     supervisor = Supervisor(folder, config(day, f"127.0.0.1:{free_port()}"), record)
     try:
@@ -107,7 +134,7 @@
         if not await supervisor.wait_alive():
             record("the supervisor did not start")
             return 2
-        began = time.monotonic()
+        began = day.alive_at = time.monotonic()
         for i in range(PROXIES):
             zone = s["localities"][i % 3]
             table = {n: 1.0 for n, e in day.discovery.servers.items() if e["zone"] == zone}
@@ -115,27 +142,34 @@
         tasks = [asyncio.ensure_future(p.run(supervisor)) for p in day.proxies]
         tasks += [asyncio.ensure_future(day.requests(p)) for p in day.proxies]
         tasks += [asyncio.ensure_future(day.collector(z, supervisor)) for z in s["localities"]]
-        while time.monotonic() < began + WARM_UP + BAD_FOR + AFTER:
-            bad = TROUBLE and began + WARM_UP <= time.monotonic() < began + WARM_UP + BAD_FOR
-            if bad != day.bad:
-                day.bad = bad
-                record(f"the three servers of {s['localities'][BAD_ZONE]} " +
-                       (f"fail {FAILS:.0%} of their requests fast" if bad else "serve again"))
-            day.check(began)
-            if supervisor.exited() is not None:
-                record(f"the supervisor has ended: {supervisor.exited()}")
-                return 1
-            await asyncio.sleep(0.02)
-        day.ending = True
-        for key, span in sorted(day.worst.items()):
-            record(f"proxy {key[0]}, class {key[1]}: longest time without a line {span:.2f} s")
-        for key, made in sorted(day.made.items()):
-            record(f"class {key[0]} in {key[1]}: served {made[0]}, failed {made[1]}, refused for want of a line {made[2]}")
-        record(f"most lines waiting in the channel: {day.channel.most:.0f} of {day.channel.capacity:.0f}")
+        await asyncio.sleep(DEPLOY_AT)
         if not all(p.acks for p in day.proxies):
             record("a proxy was never sent a message: the case could not run")
             return 2
-        record(f"verdict: {'rule 1 broken for ' + str(day.broken) if day.broken else 'rule 1 held'}")
+        record(f"a rolling deploy replaces {BATCH * STEPS} of {SERVERS} servers, {BATCH} at a time")
+        tasks.append(asyncio.ensure_future(day.deploy(list(day.discovery.servers))))
+        if TROUBLE:
+            await asyncio.sleep(max(0, began + DIES_AT - time.monotonic()))
+            supervisor.config["known"] = day.discovery.known()
+            supervisor.stop()
+            record("the supervisor is killed")
+            await asyncio.sleep(AWAY)
+            supervisor.start()
+            if not await supervisor.wait_alive():
+                record("the supervisor did not start again")
+                return 1
+            day.alive_at = time.monotonic()
+        await asyncio.sleep(max(0, began + LENGTH - time.monotonic()))
+        if supervisor.exited() is not None:
+            record(f"the supervisor has ended: {supervisor.exited()}")
+            return 1
+        day.ending = True
+        for server, span in sorted(day.worst.items()):
+            record(f"{server}: last request {span:.2f} s after the supervisor was told; {day.broken.get(server, 0)} beyond the limit")
+        record(f"requests served {day.served}, sent to servers that were gone {day.lost}")
+        record(f"most messages to one proxy within {OVER:.0f} s: {day.most_messages} of {LIMIT}; most lines waiting: "
+               f"{day.channel.most:.0f} of {day.channel.capacity:.0f}")
+        record(f"verdict: {'rule 3 broken for %d servers' % len(day.broken) if day.broken else 'rule 3 held'}")
         for t in tasks:
             t.cancel()
         return 1 if day.broken else 0
