Log drains by their acknowledgements, and lines sent beside lines accounted for

What callers saw: drains reached proxies up to 4.0 s after they were told (limit 2.8 s), and the log said nothing: "deadlines missed" is a forecast at the time of sending, and whole tables had none at all.

The channel now compares the deadline of each drain with its acknowledgement ("drains acknowledged late"), and the platform supervisor tells the controller how many lines a batch really took (Event::Sent), which is logged where the account was lower ("channel account too low"). No decision changes.

--- a/crates/cli/tests/restart_soak/platform.rs
+++ b/crates/cli/tests/restart_soak/platform.rs
@@ -185,7 +185,7 @@
             judge: self.judge,
             readmissions_after_restart: self.readmissions_after_restart,
             lines_by_traffic: self.lines_by_traffic,
-            log: ["missed", "late", "panic", "faults since"]
+            log: ["missed", "late:", "account", "panic", "faults since"]
                 .iter()
                 .flat_map(|text| self.supervisor.log_lines(text))
                 .collect(),
--- a/crates/platform-supervisor/src/proxy_tables/mod.rs
+++ b/crates/platform-supervisor/src/proxy_tables/mod.rs
@@ -114,6 +114,8 @@
     pub proxy: ProxyId,
     /// The encoded lines. Equal updates of a batch share one buffer.
     pub bytes: Bytes,
+    /// Number of its lines in the channel, without the overhead of a message.
+    pub lines: u64,
 }
 
 /// All tables, and the state of all joined proxies.
--- a/crates/platform-supervisor/src/proxy_tables/updates.rs
+++ b/crates/platform-supervisor/src/proxy_tables/updates.rs
@@ -78,7 +78,7 @@
             let update = encoded.entry(content).or_insert_with_key(|content| encoder.encode(content));
             self.sent.lines += update.lines;
             state.pending_acks.extend(ack_serial.map(|serial| PendingAck { serial, lines: update.lines }));
-            updates.push(ProxyUpdate { proxy, bytes: Bytes::clone(&update.bytes) });
+            updates.push(ProxyUpdate { proxy, bytes: Bytes::clone(&update.bytes), lines: update.lines });
         }
         updates
     }
--- a/crates/platform-supervisor/src/supervisor/controller_runs.rs
+++ b/crates/platform-supervisor/src/supervisor/controller_runs.rs
@@ -29,6 +29,9 @@
 pub(super) struct ControllerRuns {
     controller: Controller,
     pending_events: Vec<Event>,
+    /// The size of what the last run sent. It is passed along with the next events and causes no run of its
+    /// own.
+    sent: Option<Event>,
     last_run_at: Nanos,
     consecutive_failures: u32,
     /// When a failed controller is restarted; `None` if it has not failed.
@@ -40,6 +43,7 @@
         ControllerRuns {
             controller: Controller::new(config),
             pending_events: Vec::new(),
+            sent: None,
             last_run_at: 0,
             consecutive_failures: 0,
             restart_at: None,
@@ -62,7 +66,8 @@
     /// # Errors
     /// The controller panicked.
     fn run(&mut self, clocks: Clocks) -> Result<Vec<Action>, ControllerFailure> {
-        let events = std::mem::take(&mut self.pending_events);
+        let mut events = std::mem::take(&mut self.pending_events);
+        events.splice(0..0, self.sent.take());
         tracing::debug!(?events, "batch");
         let controller = &mut self.controller;
         let time = clocks.controller_time();
@@ -90,6 +95,7 @@
         let actions = self.controller.run(clocks)?;
         let updates = self.tables.apply(&actions, &self.registry, &self.config.operations)?;
         self.controller.consecutive_failures = 0;
+        self.controller.sent = self.sent_event(&actions, &updates);
         tracing::debug!(sent = ?self.tables.sent(), "updates");
         for update in updates {
             self.send_update(update, clocks.now);
@@ -100,6 +106,17 @@
         Ok(())
     }
 
+    /// The event that tells the controller the size of these updates; `None` if they request no
+    /// acknowledgement.
+    fn sent_event(&self, actions: &[Action], updates: &[ProxyUpdate]) -> Option<Event> {
+        let overhead = self.config.controller.message_overhead;
+        let lines = updates.iter().map(|update| update.lines as f64 + overhead).sum();
+        actions.iter().find_map(|action| match *action {
+            Action::RequestAck { serial, .. } => Some(Event::Sent { serial, lines }),
+            _ => None,
+        })
+    }
+
     fn send_update(&mut self, update: ProxyUpdate, now: Nanos) {
         let Some(&connection) = self.proxy_connections.get(&update.proxy) else { return };
         self.sent_bytes += update.bytes.len() as u64;
@@ -144,6 +161,7 @@
     /// events that arrived since the failure.
     fn restart_controller(&mut self, now: Nanos) {
         self.controller.controller = Controller::new(&self.config.controller);
+        self.controller.sent = None;
         self.tables.reset_for_new_controller();
         self.cancel_controller_timers();
         let mut events = self.restart_events();
--- a/src/channel.rs
+++ b/src/channel.rs
@@ -10,7 +10,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::deadlines::DeadlineStatistics;
+use crate::deadlines::{AcknowledgedDeadlines, DeadlineStatistics};
 use crate::interface::{ControllerConfig, Nanos, ProxyId, ServerId};
 use crate::message::{AdmissionLimit, Component, DesiredState, Mailboxes, Message, SECOND};
 use crate::pacing::Pacing;
@@ -23,6 +23,7 @@
 pub(crate) use changes::MIN_WEIGHT_CHANGE;
 use changes::{Audience, Priority};
 use sent::SentState;
+use unaccounted_lines::UnaccountedLines;
 
 mod assignment;
 mod batch;
@@ -35,6 +36,7 @@
 mod table_choice;
 #[cfg(test)]
 mod tests;
+mod unaccounted_lines;
 mod unused_tables;
 mod updates;
 
@@ -65,6 +67,8 @@
     /// Lines of table assignments that may be sent before the next deferrable changes.
     assignment_quota: f64,
     deadlines: DeadlineStatistics,
+    acknowledged_deadlines: AcknowledgedDeadlines,
+    unaccounted_lines: UnaccountedLines,
 }
 
 impl Channel {
@@ -92,8 +96,13 @@
             Message::Left(proxy) => {
                 self.proxies.by_id.remove(&proxy);
                 self.pacing.remove_proxy(proxy);
+                self.acknowledged_deadlines.remove_proxy(proxy);
             }
-            Message::Acknowledged { proxy, serial } => self.pacing.acknowledge(proxy, serial, now),
+            Message::Acknowledged { proxy, serial } => {
+                self.acknowledged_deadlines.acknowledge(proxy, serial, now);
+                self.pacing.acknowledge(proxy, serial, now);
+            }
+            Message::Sent { serial, lines } => self.record_actual_size(serial, lines),
             Message::Backlog(lines) => self.pacing.take_over_backlog(lines, now),
             Message::Flush => self.flush(mailboxes),
             _ => {}
@@ -183,9 +192,11 @@
     }
 
     fn log_deadlines(&mut self, mailboxes: &mut Mailboxes) {
+        let now = mailboxes.now;
         let pending = self.proxies.newly_joined().count();
-        if let Some(line) = self.deadlines.log_line(pending, mailboxes.now, LOG_INTERVAL) {
-            mailboxes.log(line);
-        }
+        let forecast = self.deadlines.log_line(pending, now, LOG_INTERVAL);
+        let measured = self.acknowledged_deadlines.log_line(now, LOG_INTERVAL);
+        let unaccounted = self.unaccounted_lines.log_line(now, LOG_INTERVAL);
+        forecast.into_iter().chain(measured).chain(unaccounted).for_each(|line| mailboxes.log(line));
     }
 }
--- a/src/channel/assignment.rs
+++ b/src/channel/assignment.rs
@@ -44,6 +44,7 @@
         let forecast = self.pacing.forecast(now);
         let mut lines = 0.0;
         let mut recipients = BTreeSet::new();
+        let mut deadlines = Vec::new();
         for assignment in waiting {
             if lines + assignment.lines > max_lines && !(takes_one && recipients.is_empty()) {
                 break;
@@ -52,6 +53,7 @@
             mailboxes.actions.push(Action::AssignTable { proxy, table, operations: 0 });
             lines += assignment.lines;
             recipients.insert(proxy);
+            deadlines.extend(self.drain_deadline_of(proxy).map(|deadline| (proxy, deadline)));
             if let Some(proxy) = self.proxies.by_id.get_mut(&proxy) {
                 proxy.assigned_table = Some(table);
             }
@@ -62,9 +64,17 @@
         if !recipients.is_empty() {
             self.assignment_quota -= lines;
             self.pacing.record_sent(lines, recipients, mailboxes);
+            self.expect_acknowledgements(deadlines);
         }
     }
 
+    /// Deadline by which a table must replace what a newly joined proxy holds; `None` if it holds nothing
+    /// that it must not use, or has received a table or the exclusions.
+    fn drain_deadline_of(&self, proxy: ProxyId) -> Option<Nanos> {
+        let newly_joined = self.proxies.by_id.get(&proxy).filter(|proxy| proxy.is_newly_joined());
+        newly_joined.filter(|_| !self.unready_since.is_empty()).map(|proxy| self.newly_joined_deadline(proxy))
+    }
+
     /// Returns the waiting assignments in the order in which they are sent.
     fn waiting_assignments(&self, scope: AssignmentScope, now: Nanos) -> Vec<Assignment> {
         let sizes = self.table_sizes();
--- a/src/channel/updates.rs
+++ b/src/channel/updates.rs
@@ -12,8 +12,9 @@
 use super::changes::{Audience, Change, Priority};
 use super::sent::TableLimit;
 use super::Channel;
-use crate::interface::{Nanos, TableId};
+use crate::interface::{Nanos, ProxyId, TableId};
 use crate::message::{Mailboxes, SECOND};
+use crate::proxies::Proxy;
 use crate::tables::{EXCLUSIONS, FULL_TABLE};
 
 #[cfg(test)]
@@ -72,9 +73,11 @@
         if urgent_sent < changes.len() || !limits.is_empty() {
             self.deferrable_sent_at = now;
         }
-        self.record_deadlines(&changes, &batch, now);
+        let deadlines = self.removal_deadlines(&changes);
+        self.record_deadlines(&deadlines, &batch, now);
         self.send_changes(&changes, limits, mailboxes);
         self.record_batch(&batch, mailboxes);
+        self.expect_acknowledgements(self.recipients_with_deadlines(&deadlines));
         if all_urgent_sent && batch.has_lines_of(EXCLUSIONS) {
             self.mark_exclusions_sent();
         }
@@ -164,9 +167,8 @@
         limits
     }
 
-    /// Records whether removals sent now are forecast to arrive in time.
-    fn record_deadlines(&mut self, changes: &[Change], batch: &Batch, now: Nanos) {
-        let arrival = self.pacing.forecast(now).arrival(batch.cost());
+    /// The earliest deadline of the removals from each table among these changes.
+    fn removal_deadlines(&self, changes: &[Change]) -> BTreeMap<TableId, Nanos> {
         let mut deadlines: BTreeMap<TableId, Nanos> = BTreeMap::new();
         for change in changes.iter().filter(|change| change.line.table != EXCLUSIONS) {
             if let Some(since) = self.unready_since.get(&change.line.server) {
@@ -174,11 +176,32 @@
                 *deadline = (*deadline).min(since + self.drain_grace);
             }
         }
-        for (table, deadline) in deadlines {
+        deadlines
+    }
+
+    /// Records whether removals sent now are forecast to arrive in time.
+    fn record_deadlines(&mut self, deadlines: &BTreeMap<TableId, Nanos>, batch: &Batch, now: Nanos) {
+        let arrival = self.pacing.forecast(now).arrival(batch.cost());
+        for (&table, &deadline) in deadlines {
             self.deadlines.record(batch.users(table) as usize, deadline, arrival);
         }
     }
 
+    /// The users of each table, with its deadline.
+    fn recipients_with_deadlines(&self, deadlines: &BTreeMap<TableId, Nanos>) -> Vec<(ProxyId, Nanos)> {
+        let deadline = |proxy: &Proxy| deadlines.get(&proxy.receives_table()).copied();
+        let proxies = self.proxies.by_id.iter();
+        proxies.filter_map(|(&id, proxy)| deadline(proxy).map(|deadline| (id, deadline))).collect()
+    }
+
+    /// Remembers by when the proxies must have received the messages that were sent last.
+    pub(super) fn expect_acknowledgements(&mut self, deadlines: Vec<(ProxyId, Nanos)>) {
+        let serial = self.pacing.last_serial();
+        for (proxy, deadline) in deadlines {
+            self.acknowledged_deadlines.sent(proxy, serial, deadline);
+        }
+    }
+
     /// Records that all unassigned proxies were sent the exclusions.
     fn mark_exclusions_sent(&mut self) {
         let unassigned = self.proxies.by_id.values_mut().filter(|proxy| proxy.assigned_table.is_none());
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -104,6 +104,9 @@
             }
             Event::Left { proxy } => (Component::Channel, Message::Left(proxy)),
             Event::Backlog { lines } => (Component::Channel, Message::Backlog(lines)),
+            Event::Sent { serial, lines } => {
+                (Component::Channel, Message::Sent { serial: serial.into(), lines })
+            }
             Event::EndpointReport(report) if report.attempts > 0 => {
                 (Component::Server(report.server), Message::Report(report))
             }
--- a/src/deadlines.rs
+++ b/src/deadlines.rs
@@ -3,6 +3,9 @@
 
 use crate::interface::Nanos;
 
+pub(crate) use acknowledged::AcknowledgedDeadlines;
+
+mod acknowledged;
 #[cfg(test)]
 mod tests;
 
--- a/src/deadlines/tests.rs
+++ b/src/deadlines/tests.rs
@@ -31,3 +31,25 @@
     assert_eq!(statistics.log_line(0, 10 * SECOND + SECOND / 2, SECOND), None);
     assert!(statistics.log_line(0, 11 * SECOND, SECOND).is_some());
 }
+
+/// Guards against late drains that no forecast shows, since the channel is slower than assumed.
+#[rstest]
+fn messages_acknowledged_after_their_deadline_are_logged() {
+    let mut deadlines = AcknowledgedDeadlines::default();
+    for proxy in 1..=4 {
+        deadlines.sent(proxy, 7, 20 * SECOND);
+        deadlines.sent(proxy, 7, 10 * SECOND);
+        deadlines.sent(proxy, 8, 30 * SECOND);
+    }
+    deadlines.acknowledge(1, 7, 10 * SECOND);
+    deadlines.acknowledge(1, 7, 90 * SECOND);
+    assert_eq!(deadlines.log_line(10 * SECOND, SECOND), None, "in time, and only once");
+    // The acknowledgement of a later mark covers the earlier one.
+    deadlines.acknowledge(2, 8, 11 * SECOND);
+    deadlines.acknowledge(3, 7, 10 * SECOND + SECOND / 2);
+    deadlines.remove_proxy(4);
+    deadlines.acknowledge(4, 7, 99 * SECOND);
+    let line = "drains acknowledged late: 2 messages after the deadline, 2 in time; latest by 1000 ms";
+    assert_eq!(deadlines.log_line(11 * SECOND, SECOND).as_deref(), Some(line));
+    assert_eq!(deadlines.log_line(12 * SECOND, SECOND), None, "the counts begin anew");
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -392,6 +392,14 @@
         /// The server's load values; see [`LoadColumn`].
         load: Vec<f64>,
     },
+    /// The actual size of the messages that the actions of a batch resulted in. A shell that encodes messages
+    /// itself reports it, since it may add lines to what the controller has accounted for.
+    Sent {
+        /// Serial number of the mark that the batch requested; see [`Action::RequestAck`].
+        serial: u16,
+        /// Number of lines of all messages together, including their overhead.
+        lines: f64,
+    },
     /// A proxy has applied everything that was sent to it before a mark; see [`Action::RequestAck`].
     Acknowledged {
         /// Id of the proxy.
--- a/src/message.rs
+++ b/src/message.rs
@@ -86,6 +86,8 @@
     Acknowledged { proxy: ProxyId, serial: u64 },
     /// Number of lines that an earlier controller sent and that may still be queued.
     Backlog(f64),
+    /// Actual number of lines of the messages with the mark of this serial number.
+    Sent { serial: u64, lines: f64 },
     /// All other messages of the batch were handled: send updates to proxies.
     Flush,
 }
--- a/src/pacing.rs
+++ b/src/pacing.rs
@@ -136,6 +136,11 @@
         mailboxes.actions.push(Action::RequestAck { serial: self.last_serial, everyone: false });
     }
 
+    /// Serial number of the mark that was requested last.
+    pub(crate) fn last_serial(&self) -> u64 {
+        self.last_serial.into()
+    }
+
     /// Accounts for lines that an earlier controller sent and that are not acknowledged: the queue is at
     /// least that long.
     pub(crate) fn take_over_backlog(&mut self, lines: f64, now: Nanos) {
