Account for the lines of readmissions before they are sent

What callers saw: drains that were forecast to arrive in time arrived late, after servers had returned.

Cause: an update that adds a returned server to the table of a proxy that holds another supervisor's state also readmits it ("back"). The platform supervisor adds these lines while it encodes; the channel's account knew them only for whole tables, and there only for servers with a start time, not for those that drained and became ready again. So the queue was up to twice as long as the forecasts, the share that deferrable work may fill, and the learned rate took it to be.

Change: a server that became ready again counts like one with a known start; a change that adds a returned server costs a second line for each user of the table that joined with foreign state since it was last added; and the account of a message is corrected by its actual size.

Measured: readmissions_of_returned_servers_are_accounted_for failed before ("20800 lines sent, 13120 accounted for", twice) and passes.

--- a/crates/platform-supervisor/tests/deadlines/main.rs
+++ b/crates/platform-supervisor/tests/deadlines/main.rs
@@ -77,6 +77,31 @@
     assert_deadlines_met(&platform.measurements, &scenario);
 }
 
+/// Guards against readmissions that take channel lines without being accounted for, which made forecasts of
+/// drains too early.
+#[rstest]
+fn readmissions_of_returned_servers_are_accounted_for() {
+    let scenario = Scenario {
+        proxies: 320,
+        lines_per_s: 38_400.0,
+        channel_capacity: 115_200.0,
+        message_overhead: 10.0,
+        drain_grace: 2_500 * MS,
+        ..Scenario::default()
+    };
+    let mut platform = with_fifth_of_proxies_joined(&scenario, 5);
+    platform.list_servers(0..30, "Terminating");
+    join_remaining_proxies(&mut platform, &scenario, SECOND);
+    for step in 1..6 {
+        platform.run_for(2 * SECOND);
+        platform.list_servers((step - 1) * 30..step * 30, "Ready");
+        platform.list_servers(step * 30..(step + 1) * 30, "Terminating");
+    }
+    platform.run_for(5 * SECOND);
+    let too_low: Vec<&String> = platform.log.iter().filter(|line| line.contains("account too low")).collect();
+    assert!(too_low.is_empty(), "{too_low:?}");
+}
+
 #[rstest]
 fn drain_is_sent_in_time_despite_unacknowledged_messages_of_vanished_proxies() {
     let scenario = Scenario {
--- a/src/channel.rs
+++ b/src/channel.rs
@@ -22,6 +22,7 @@
 use capacity_shares::{ASSIGNMENT_CAPACITY_SHARE, DEFERRABLE_CAPACITY_SHARE};
 pub(crate) use changes::MIN_WEIGHT_CHANGE;
 use changes::{Audience, Priority};
+use readmissions::Readmissions;
 use sent::SentState;
 use unaccounted_lines::UnaccountedLines;
 
@@ -32,6 +33,7 @@
 mod coalescing;
 mod exclusions;
 mod obligations;
+mod readmissions;
 mod sent;
 mod table_choice;
 #[cfg(test)]
@@ -69,6 +71,7 @@
     deadlines: DeadlineStatistics,
     acknowledged_deadlines: AcknowledgedDeadlines,
     unaccounted_lines: UnaccountedLines,
+    readmissions: Readmissions,
 }
 
 impl Channel {
@@ -149,6 +152,7 @@
         self.unready_since.remove(&server);
         self.subsets.forget_server(server);
         self.sent.forget_server(server);
+        self.readmissions.forget_server(server);
         true
     }
 
--- a/src/channel/batch.rs
+++ b/src/channel/batch.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::changes::Audience;
-use crate::interface::{ProxyId, TableId};
+use super::changes::{Audience, Change};
+use crate::interface::{Nanos, ProxyId, TableId};
 use crate::proxies::{Proxies, Proxy};
 use crate::tables::EXCLUSIONS;
 
@@ -18,6 +18,8 @@
 pub(super) struct Batch {
     users_by_table: BTreeMap<TableId, f64>,
     newly_joined: f64,
+    /// When the users of each table joined that may hold state from another supervisor, in ascending order.
+    foreign_joins: BTreeMap<TableId, Vec<Nanos>>,
     /// Cost of each message in addition to its lines.
     message_cost: f64,
     cost: f64,
@@ -31,6 +33,7 @@
         Batch {
             users_by_table: proxies.users_by_table(),
             newly_joined: proxies.newly_joined().count() as f64,
+            foreign_joins: foreign_joins(proxies),
             message_cost,
             cost: 0.0,
             is_full: false,
@@ -58,16 +61,40 @@
         self.users_by_table.len() > usize::from(self.has_unassigned_proxies())
     }
 
+    /// Adds a change to the messages for its table's users, like [`Batch::try_add`].
+    pub(super) fn try_add_change(&mut self, change: &Change, max_cost: f64) -> bool {
+        let table = change.line.table;
+        let readmissions = change.readmits_joined_after.map_or(0.0, |after| self.joined_after(table, after));
+        self.try_add_lines(table, change.audience, readmissions, max_cost)
+    }
+
     /// Adds a line to the messages for a table's users if the cost of the batch stays within `max_cost`.
     /// Returns whether it was added; once a line did not fit, nothing more is added.
     pub(super) fn try_add(&mut self, table: TableId, audience: Audience, max_cost: f64) -> bool {
+        self.try_add_lines(table, audience, 0.0, max_cost)
+    }
+
+    /// Number of a table's users that joined after a time with state from another supervisor.
+    fn joined_after(&self, table: TableId, after: Nanos) -> f64 {
+        let joins = self.foreign_joins.get(&table).map_or(&[][..], Vec::as_slice);
+        (joins.len() - joins.partition_point(|&joined_at| joined_at <= after)) as f64
+    }
+
+    fn try_add_lines(
+        &mut self,
+        table: TableId,
+        audience: Audience,
+        additional_lines: f64,
+        max_cost: f64,
+    ) -> bool {
         let recipient_count = match audience {
             Audience::All => self.users(table),
             Audience::NewlyJoined => self.newly_joined,
         };
         let has_message = self.recipients.contains(&Recipients { table, audience: Audience::All })
             || self.recipients.contains(&Recipients { table, audience });
-        let added_cost = recipient_count * if has_message { 1.0 } else { 1.0 + self.message_cost };
+        let lines_each = if has_message { 1.0 } else { 1.0 + self.message_cost };
+        let added_cost = recipient_count * lines_each + additional_lines;
         self.is_full |= recipient_count > 0.0 && self.cost + added_cost > max_cost;
         if !self.is_full {
             self.recipients.insert(Recipients { table, audience });
@@ -92,3 +119,12 @@
         is_sent(Audience::All) || (is_sent(Audience::NewlyJoined) && !proxy.has_exclusions)
     }
 }
+
+fn foreign_joins(proxies: &Proxies) -> BTreeMap<TableId, Vec<Nanos>> {
+    let mut joins: BTreeMap<TableId, Vec<Nanos>> = BTreeMap::new();
+    for proxy in proxies.by_id.values().filter(|proxy| proxy.holds_foreign_state) {
+        joins.entry(proxy.receives_table()).or_default().push(proxy.joined_at);
+    }
+    joins.values_mut().for_each(|times| times.sort_unstable());
+    joins
+}
--- a/src/channel/changes.rs
+++ b/src/channel/changes.rs
@@ -45,6 +45,8 @@
     /// must be excluded.
     pub(super) sort_key: f64,
     pub(super) audience: Audience,
+    /// See [`Channel::readmits_joined_after`].
+    pub(super) readmits_joined_after: Option<Nanos>,
 }
 
 impl Change {
@@ -142,7 +144,8 @@
             if desired.must_exclude { f64::MAX / (1.0 + f64::from(line.table)) } else { weight_change };
         let priority = self.priority(line, sent, weight, desired.unstable);
         let audience = if repeats { Audience::NewlyJoined } else { Audience::All };
-        Some(Change { line, weight, priority, sort_key, audience })
+        let readmits_joined_after = channel.readmits_joined_after(line, weight);
+        Some(Change { line, weight, priority, sort_key, audience, readmits_joined_after })
     }
 
     fn priority(&self, line: TableLine, sent: f64, weight: f64, server_is_unstable: bool) -> Priority {
--- a/src/channel/sent.rs
+++ b/src/channel/sent.rs
@@ -24,7 +24,7 @@
     /// Lines of the table itself, which every proxy receives.
     pub(super) lines: f64,
     /// Additional lines for a proxy with state from another supervisor: readmissions of servers that the
-    /// proxy may have excluded before they restarted.
+    /// proxy may have excluded before they returned.
     pub(super) readmissions: f64,
 }
 
@@ -86,13 +86,13 @@
         desired: &DesiredStates,
     ) -> BTreeMap<TableId, TableSize> {
         let empty = TableSize { lines: FIXED_ASSIGNMENT_LINES + admission_limits as f64, readmissions: 0.0 };
-        let has_known_start =
-            |server| desired.get(server).is_some_and(|desired: &DesiredState| desired.has_known_start);
+        let has_returned =
+            |server| desired.get(server).is_some_and(|desired: &DesiredState| desired.has_returned);
         let mut sizes: BTreeMap<TableId, TableSize> = BTreeMap::new();
         for TableLine { table, server } in self.lines_in_use() {
             let size = sizes.entry(*table).or_insert(empty);
             size.lines += 1.0;
-            size.readmissions += f64::from(u8::from(has_known_start(server)));
+            size.readmissions += f64::from(u8::from(has_returned(server)));
         }
         sizes
     }
--- a/src/channel/unaccounted_lines.rs
+++ b/src/channel/unaccounted_lines.rs
@@ -1,5 +1,5 @@
-//! Lines that were sent in addition to those accounted for. All forecasts depend on the account, so a
-//! difference is logged.
+//! Lines that were sent in addition to those accounted for. All forecasts depend on the account, so it is
+//! corrected, and a difference is logged.
 
 use super::Channel;
 use crate::interface::Nanos;
@@ -34,10 +34,11 @@
 }
 
 impl Channel {
-    /// Compares the actual size of the messages of a mark with what was accounted for.
+    /// Corrects the account of the messages of a mark by their actual size.
     pub(super) fn record_actual_size(&mut self, serial: u64, lines: f64) {
         if let Some(mark) = self.pacing.pending_marks.get(&serial) {
             self.unaccounted_lines.record(mark.lines, lines);
+            self.pacing.correct_lines(serial, lines);
         }
     }
 }
--- a/src/channel/updates.rs
+++ b/src/channel/updates.rs
@@ -76,6 +76,7 @@
         let deadlines = self.removal_deadlines(&changes);
         self.record_deadlines(&deadlines, &batch, now);
         self.send_changes(&changes, limits, mailboxes);
+        self.record_readmissions(&changes, now);
         self.record_batch(&batch, mailboxes);
         self.expect_acknowledgements(self.recipients_with_deadlines(&deadlines));
         if all_urgent_sent && batch.has_lines_of(EXCLUSIONS) {
@@ -240,13 +241,12 @@
 ) -> bool {
     let table = change.line.table;
     if change.is_urgent() {
-        return worth_updating.contains(&table)
-            && batch.try_add(table, change.audience, allowance.urgent_lines);
+        return worth_updating.contains(&table) && batch.try_add_change(change, allowance.urgent_lines);
     }
     let waits_for_assignments = change.priority == Priority::Ordinary
         && batch.has_unassigned_proxies()
         && batch.has_assigned_proxies();
     allowance.takes_deferrable
         && !waits_for_assignments
-        && batch.try_add(table, Audience::All, allowance.deferrable_lines)
+        && batch.try_add_change(change, allowance.deferrable_lines)
 }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -267,7 +267,7 @@
                 must_exclude: status.must_exclude,
                 unready: !status.is_ready(),
                 locality: status.endpoint.locality,
-                has_known_start: status.endpoint.started_at > 0,
+                has_returned: status.has_returned,
             };
             mailboxes.send(Component::Channel, Message::DesiredState(server, desired));
         }
--- a/src/message.rs
+++ b/src/message.rs
@@ -152,6 +152,8 @@
     /// Proxies must exclude the server: it is draining, or it was removed while it still received requests
     /// and removal is not advisory.
     pub(crate) must_exclude: bool,
+    /// The server was started or became ready again since it was first listed.
+    pub(crate) has_returned: bool,
     /// The server's slow start is over.
     pub(crate) warm: bool,
     /// The server is ejected.
@@ -197,9 +199,9 @@
     pub(crate) unready: bool,
     /// Locality that the server runs in.
     pub(crate) locality: LocalityId,
-    /// The server's start time is known (`started_at` is not 0): a proxy that holds another supervisor's
-    /// state may still exclude the server from before it started.
-    pub(crate) has_known_start: bool,
+    /// The server's start time is known (`started_at` is not 0), or the server became ready again: a proxy that
+    /// holds another supervisor's state may still exclude the server from before, and is told to readmit it.
+    pub(crate) has_returned: bool,
 }
 
 /// Admission limit of an operation, in the unit of [`AdmissionMode`](crate::interface::AdmissionMode), and
--- a/src/pacing.rs
+++ b/src/pacing.rs
@@ -136,6 +136,22 @@
         mailboxes.actions.push(Action::RequestAck { serial: self.last_serial, everyone: false });
     }
 
+    /// Corrects the account of the messages with a mark by the number of lines that they really have.
+    pub(crate) fn correct_lines(&mut self, serial: u64, lines: f64) {
+        let lines_per_ns = self.learned_lines_per_ns();
+        let Some(mark) = self.pending_marks.get_mut(&serial) else { return };
+        let additional = lines - mark.lines;
+        let additional_time = (additional.abs() / lines_per_ns) as Nanos;
+        mark.due = if additional > 0.0 {
+            mark.due.saturating_add(additional_time)
+        } else {
+            mark.due.saturating_sub(additional_time)
+        };
+        mark.lines = lines;
+        mark.queued_lines += additional;
+        self.queued_lines = (self.queued_lines + additional).max(0.0);
+    }
+
     /// Serial number of the mark that was requested last.
     pub(crate) fn last_serial(&self) -> u64 {
         self.last_serial.into()
--- a/src/server.rs
+++ b/src/server.rs
@@ -63,6 +63,8 @@
     pub(crate) health: HealthState,
     pub(crate) ejection: Ejection,
     evaluated_at: Nanos,
+    /// The server became ready again since it was first listed.
+    became_ready_again: bool,
 }
 
 impl Server {
@@ -103,7 +105,8 @@
         let before = self.endpoint.readiness;
         let became_ready = endpoint.readiness == Readiness::Ready && before != Readiness::Ready;
         if endpoint.started_at > self.endpoint.started_at || became_ready {
-            *self = Server::new(endpoint, now);
+            let became_ready_again = self.became_ready_again || became_ready;
+            *self = Server { became_ready_again, ..Server::new(endpoint, now) };
         }
         let before = self.endpoint.readiness;
         if endpoint.readiness == Readiness::Removed && before != Readiness::Removed {
@@ -167,7 +170,11 @@
 
     /// Returns the server from its ejection with a small share of its weight; other learned state is lost.
     pub(crate) fn return_from_ejection(&mut self, now: Nanos) {
-        *self = Server { ejection: self.ejection.ended(), ..Server::new(self.endpoint, now) };
+        *self = Server {
+            ejection: self.ejection.ended(),
+            became_ready_again: self.became_ready_again,
+            ..Server::new(self.endpoint, now)
+        };
     }
 
     /// Returns the server's status after an evaluation.
@@ -189,6 +196,7 @@
         ServerStatus {
             endpoint,
             must_exclude: self.must_exclude(endpoint.readiness, config),
+            has_returned: self.became_ready_again || endpoint.started_at > 0,
             warm,
             ejected: self.ejection.is_active(),
             fault: self.ejection.fault,
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -124,6 +124,7 @@
     ServerStatus {
         endpoint: endpoint(server),
         must_exclude: false,
+        has_returned: false,
         warm: true,
         ejected: false,
         fault: None,
