--- a/crates/cli/tests/restart_soak/channel.rs
+++ b/crates/cli/tests/restart_soak/channel.rs
@@ -36,6 +36,11 @@
         Channel { settings, busy_until: 0, waiting: VecDeque::new(), random: Rand64::new(seed.into()) }
     }
 
+    /// Changes the rate for messages that enter from now on.
+    pub fn set_rate(&mut self, lines_per_s: f64) {
+        self.settings.lines_per_s = lines_per_s;
+    }
+
     /// Adds a message of this many lines. Returns when the proxy receives it.
     pub fn enter(&mut self, lines: usize, now: Nanos) -> Nanos {
         let ChannelSettings { lines_per_s, overhead, mean_transit, worst_transit } = self.settings;
--- a/crates/cli/tests/restart_soak/connection.rs
+++ b/crates/cli/tests/restart_soak/connection.rs
@@ -2,6 +2,7 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
 
 use rustix::io::Errno;
 use rustix::net::{self, AddressFamily, SocketFlags, SocketType};
@@ -36,6 +37,11 @@
         Connection { stream, token, received: Vec::new(), unsent: Vec::new() }
     }
 
+    /// Makes the connection end with a reset when it is dropped.
+    pub fn reset(&self) {
+        let _ = net::sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO));
+    }
+
     /// Queues a line and writes as much as the peer takes.
     pub fn send(&mut self, bytes: &[u8]) {
         self.unsent.extend_from_slice(bytes);
--- a/crates/cli/tests/restart_soak/discovery.rs
+++ b/crates/cli/tests/restart_soak/discovery.rs
@@ -98,6 +98,11 @@
         self.write(&chunk(""));
     }
 
+    /// Resets the connections of all watches.
+    pub fn reset_watches(&mut self) {
+        self.watches.drain(..).for_each(|watch| watch.connection.reset());
+    }
+
     fn write(&mut self, bytes: &[u8]) {
         for watch in self.watches.iter_mut().filter(|watch| watch.is_open) {
             watch.connection.send(bytes);
--- a/crates/cli/tests/restart_soak/main.rs
+++ b/crates/cli/tests/restart_soak/main.rs
@@ -42,10 +42,11 @@
 fn summary(schedule: &Schedule, report: &Report) -> String {
     let judge = &report.judge;
     format!(
-        "seed {}: pace {}, {} violations, latest drain {:.2} s, {} of {} requests late, longest without a server {:.2} s, \
+        "seed {}: pace {} then {}, {} violations, latest drain {:.2} s, {} of {} requests late, longest without a server {:.2} s, \
          at most {:.0} lines waiting, {} readmissions after the last start, {} lines in all",
         schedule.seed,
         schedule.channel_pace,
+        schedule.last_pace(),
         judge.violations,
         seconds(judge.latest_drain),
         judge.late_requests,
--- a/crates/cli/tests/restart_soak/platform.rs
+++ b/crates/cli/tests/restart_soak/platform.rs
@@ -265,6 +265,9 @@
                 self.start(known, at);
             }
             Step::Crowd(count) => self.add_crowd(count),
+            Step::ChannelPace(pace) => self.channel.set_rate(pace * reported::LINES_PER_S),
+            Step::ResetProxies(count) => self.reset_proxies(count),
+            Step::ResetWatch => self.discovery.reset_watches(),
             Step::SilentClients(count) => {
                 for _ in 0..count {
                     let client = Connection::dial(self.supervisor.address, &mut self.reactor);
@@ -348,6 +351,19 @@
         }
     }
 
+    /// Resets the connections of randomly chosen proxies.
+    fn reset_proxies(&mut self, count: u32) {
+        for _ in 0..count {
+            let id = self.between(0, u64::from(PROXIES) - 1) as u32;
+            let Some(proxy) = self.proxies.get_mut(&id) else { continue };
+            let Some(connection) = proxy.connection.take() else { continue };
+            connection.reset();
+            proxy.joined_at = None;
+            self.proxy_by_token.remove(&connection.token);
+            self.dial_later(id);
+        }
+    }
+
     fn dial(&mut self, id: u32) {
         let connection = Connection::dial(self.supervisor.address, &mut self.reactor);
         let Some(proxy) = self.proxies.get_mut(&id) else { return };
--- a/crates/cli/tests/restart_soak/schedule.rs
+++ b/crates/cli/tests/restart_soak/schedule.rs
@@ -12,8 +12,10 @@
 const SETTLING_TIME: Nanos = 3 * SECOND;
 /// Shortest time from SIGTERM to SIGKILL at a planned restart.
 const SHORTEST_STOP: Nanos = 700 * MILLI;
-/// Longest time from the end of a process to the next start.
+/// Longest time from the end of a process to the next start, ms.
 const LONGEST_ABSENCE: u64 = 300;
+/// Longest time for which a supervisor is stopped, ms.
+const LONGEST_STOP: u64 = 200;
 
 /// The endpoint list that a restarted supervisor is given.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +44,12 @@
     Stop,
     Continue,
     Start(KnownList),
+    /// The channel's rate becomes this fraction of the configured one.
+    ChannelPace(f64),
+    /// The connections of this many proxies are reset.
+    ResetProxies(u32),
+    /// The connection of the watch is reset.
+    ResetWatch,
     /// This many proxies of other supervisors join within a second.
     Crowd(u32),
     /// This many clients connect and stay silent.
@@ -52,7 +60,7 @@
 #[derive(Clone, Debug)]
 pub struct Schedule {
     pub seed: u64,
-    /// The actual rate of the channel as a fraction of the configured one.
+    /// The rate of the channel at first, as a fraction of the configured one.
     pub channel_pace: f64,
     /// Whether servers that return were restarted, which their list entries say.
     pub returns_restarted: bool,
@@ -72,7 +80,7 @@
         let reconnect_to = reconnect_from + draw.between(100, 2_400 - reconnect_from / MILLI) * MILLI;
         let mut schedule = Schedule {
             seed,
-            channel_pace: draw.one_of(&[1.0, 1.0, 0.7, 0.5, 0.4]),
+            channel_pace: draw.one_of(&[1.0, 1.0, 0.7, 0.5, 0.4, 0.4]),
             returns_restarted: draw.one_of(&[false, false, true]),
             reconnect: (reconnect_from, reconnect_to),
             hung_servers: draw.one_of(&[0, 0, 6]),
@@ -82,10 +90,20 @@
         schedule.add_rotations(&mut draw);
         schedule.add_signals(&mut draw);
         schedule.add_crowd(&mut draw);
+        schedule.add_faults(&mut draw);
         schedule.steps.sort_by_key(|(at, _)| *at);
         schedule
     }
 
+    /// The rate of the channel at the end, as a fraction of the configured one.
+    pub fn last_pace(&self) -> f64 {
+        let changed = |(_, step): &(Nanos, Step)| match step {
+            Step::ChannelPace(pace) => Some(*pace),
+            _ => None,
+        };
+        self.steps.iter().rev().find_map(changed).unwrap_or(self.channel_pace)
+    }
+
     /// A schedule without signals: the supervisor is stopped for `stall`, right after servers were listed as
     /// draining.
     pub fn with_stall(seed: u64, stall: Nanos) -> Self {
@@ -110,7 +128,7 @@
     /// Adds changes of the list at regular intervals: some servers drain, and those of the step before are
     /// ready again.
     fn add_rotations(&mut self, draw: &mut Draw) {
-        let count = draw.between(10, 40) as usize;
+        let count = draw.between(15, 40) as usize;
         let interval = draw.between(2_500, 4_000) * MILLI;
         let rotations = draw.between(5, 6);
         let mut first = 0;
@@ -143,14 +161,41 @@
         self.length = self.length.max(at + 6 * SECOND);
     }
 
+    /// Adds, in some runs, a slower channel from around the last kill, short stops of the supervisor, and
+    /// connections that break.
+    fn add_faults(&mut self, draw: &mut Draw) {
+        let kill = self.last_kill();
+        if draw.one_of(&[true, false, false]) {
+            let at = kill + draw.between(0, 1_500) * MILLI;
+            self.steps.push((at, Step::ChannelPace(draw.one_of(&[0.4, 0.5]))));
+        }
+        if draw.one_of(&[true, false, false]) {
+            let at = kill + draw.between(1_000, 4_000) * MILLI;
+            self.steps.push((at, Step::Stop));
+            self.steps.push((at + draw.between(50, LONGEST_STOP) * MILLI, Step::Continue));
+        }
+        for _ in 0..draw.one_of(&[0, 0, 2, 4]) {
+            let at = SETTLING_TIME + draw.between(0, 12_000) * MILLI;
+            let reset = if draw.one_of(&[true, false]) {
+                Step::ResetWatch
+            } else {
+                Step::ResetProxies(draw.between(5, 80) as u32)
+            };
+            self.steps.push((at, reset));
+        }
+    }
+
+    fn last_kill(&self) -> Nanos {
+        let kills = self.steps.iter().filter(|(_, step)| *step == Step::Kill).map(|(at, _)| *at);
+        kills.max().unwrap_or(SETTLING_TIME)
+    }
+
     /// Adds, in some runs, proxies of supervisors that have ended, and silent clients.
     fn add_crowd(&mut self, draw: &mut Draw) {
         if !draw.one_of(&[true, false, false]) {
             return;
         }
-        let kill = self.steps.iter().rev().find(|(_, step)| *step == Step::Kill);
-        let around = kill.map_or(SETTLING_TIME, |(at, _)| *at);
-        let at = around + draw.between(500, 4_000) * MILLI;
+        let at = self.last_kill() + draw.between(500, 4_000) * MILLI;
         self.steps.push((at, Step::Crowd(draw.between(80, 240) as u32)));
         self.steps.push((at, Step::SilentClients(draw.between(10, 40) as u32)));
         self.length = self.length.max(at + 6 * SECOND);
