--- a/crates/platform-supervisor/tests/deadlines/main.rs
+++ b/crates/platform-supervisor/tests/deadlines/main.rs
@@ -8,6 +8,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod platform;
+mod restarts;
 mod schedules;
 
 use common::{server_name, MS};
--- a/crates/platform-supervisor/tests/deadlines/platform.rs
+++ b/crates/platform-supervisor/tests/deadlines/platform.rs
@@ -159,6 +159,8 @@
     pub late_drains: usize,
     /// Description of the first violation.
     pub first_violation: Option<String>,
+    /// Maximum time for which a proxy used a server after it was listed as not ready, ns.
+    pub latest_drain: u64,
     /// Maximum time for which a proxy used a server after the drain grace, ns.
     pub max_lateness: u64,
     /// Number of steps, summed over proxies, in which a proxy was without a usable server for longer than
@@ -168,6 +170,12 @@
     pub max_queued_lines: f64,
 }
 
+fn start_supervisor(scenario: &Scenario, clocks: Clocks) -> Supervisor<u32> {
+    let file = config_file(&scenario.config_options()).to_string();
+    let config = Config::parse(Path::new("c"), file.as_bytes()).unwrap();
+    Supervisor::new(config, clocks)
+}
+
 pub struct Platform {
     scenario: Scenario,
     supervisor: Supervisor<u32>,
@@ -178,6 +186,9 @@
     /// Servers that are not listed as ready, and since when.
     unready_since: BTreeMap<String, u64>,
     version: u64,
+    /// The latest entry of each server that was listed since the start, for the watch of a restarted
+    /// supervisor.
+    changed_entries: BTreeMap<u32, Value>,
     channel: VecDeque<Message>,
     /// When the channel has sent all queued messages.
     channel_busy_until: u64,
@@ -187,15 +198,15 @@
     late_uses: BTreeSet<(u32, String)>,
     pub measurements: Measurements,
     pub log: Vec<String>,
+    /// Time limits count from no earlier time.
+    pub limits_start_at: u64,
     /// Entries that are appended to each list.
     pub invalid_entries: Vec<Value>,
 }
 
 impl Platform {
     pub fn new(scenario: Scenario, seed: u64) -> Self {
-        let file = config_file(&scenario.config_options()).to_string();
-        let config = Config::parse(Path::new("c"), file.as_bytes()).unwrap();
-        let supervisor = Supervisor::new(config, Clocks { now: START, unix_ms: UNIX_MS });
+        let supervisor = start_supervisor(&scenario, Clocks { now: START, unix_ms: UNIX_MS });
         let mut platform = Platform {
             scenario,
             supervisor,
@@ -205,6 +216,7 @@
             last_connection: 0,
             unready_since: BTreeMap::new(),
             version: 3,
+            changed_entries: BTreeMap::new(),
             channel: VecDeque::new(),
             channel_busy_until: START,
             ack_requests: 0,
@@ -212,6 +224,7 @@
             late_uses: BTreeSet::new(),
             measurements: Measurements::default(),
             log: Vec::new(),
+            limits_start_at: START,
             invalid_entries: Vec::new(),
         };
         platform.advance();
@@ -296,6 +309,11 @@
         self.supervisor.received(connection, hello_line(id, is_new).as_bytes(), self.clocks());
     }
 
+    /// Changes the actual rate of the channel, as a fraction of the configured one.
+    pub fn set_rate_factor(&mut self, rate_factor: f64) {
+        self.scenario.rate_factor = rate_factor;
+    }
+
     /// Makes the controller fail.
     pub fn fail_controller(&mut self) {
         self.supervisor.controller_failed(&ControllerFailure::Panic("planted".into()), self.now);
@@ -307,6 +325,48 @@
         self.supervisor.received(connection, ack_line(id, 60_000, 1.0).as_bytes(), self.clocks());
     }
 
+    /// Ends the supervisor and starts another one, which knows the list as of the first start. Proxies lose
+    /// their connections; what is queued in the channel still leaves it.
+    pub fn restart_supervisor(&mut self) {
+        for proxy in self.proxies.values_mut() {
+            proxy.connection = None;
+        }
+        self.proxy_by_connection.clear();
+        self.supervisor = start_supervisor(&self.scenario, self.clocks());
+        self.advance();
+        let entries = self.changed_entries.values().cloned().collect();
+        let chunk = list_chunk(&delta(self.version, entries));
+        self.supervisor.received(WATCH, chunk.as_bytes(), self.clocks());
+        self.advance();
+    }
+
+    /// Connects a proxy again, with the tables and exclusions that it has.
+    pub fn rejoin(&mut self, id: u32) {
+        let mut proxy = self.proxies.remove(&id).unwrap();
+        self.join(id, std::mem::take(&mut proxy.table), false);
+        self.proxies.get_mut(&id).unwrap().excluded = proxy.excluded;
+    }
+
+    /// Sends a collector's report on the ready servers, with a response time for each.
+    pub fn report(&mut self, mut response_time_ms: impl FnMut(u32) -> f64) {
+        let ready =
+            (0..self.scenario.servers).filter(|index| !self.unready_since.contains_key(&server_name(*index)));
+        let line = |index: u32| {
+            format!(
+                "{}\n",
+                json!({"t": "outcomes", "site": "north", "target": server_name(index), "count": 40, "fail": 0,
+                "mean": response_time_ms(index), "over": 1000.0})
+            )
+        };
+        let lines: String = ready.map(line).collect();
+        self.last_connection += 1;
+        let collector = self.last_connection;
+        self.supervisor.opened(collector, self.now);
+        let join = format!("{}\n", json!({"t": "agent", "site": "north"}));
+        self.supervisor.received(collector, (join + &lines).as_bytes(), self.clocks());
+        self.supervisor.closed(collector, "closed by the peer", self.now);
+    }
+
     /// Makes a proxy vanish without closing its connection.
     pub fn vanish(&mut self, id: u32) {
         self.proxies.get_mut(&id).unwrap().has_vanished = true;
@@ -319,6 +379,7 @@
         let mut entries = Vec::new();
         for index in servers {
             entries.push(entry(index, state, started_ms));
+            self.changed_entries.insert(index, entry(index, state, started_ms));
             if state == "Ready" {
                 self.unready_since.remove(&server_name(index));
                 self.late_uses.retain(|(_, server)| *server != server_name(index));
@@ -389,9 +450,13 @@
 
     fn check_drains(&mut self, id: u32, proxy: &Proxy) {
         for (server, &listed_at) in &self.unready_since {
-            let since = listed_at.max(proxy.joined_at);
+            let since = listed_at.max(proxy.joined_at).max(self.limits_start_at);
             let deadline = since + self.scenario.drain_grace + TOLERANCE;
-            if self.now <= deadline || !proxy.uses(server) {
+            if self.now <= since || !proxy.uses(server) {
+                continue;
+            }
+            self.measurements.latest_drain = self.measurements.latest_drain.max(self.now - since);
+            if self.now <= deadline {
                 continue;
             }
             self.measurements.max_lateness = self.measurements.max_lateness.max(self.now - deadline);
@@ -413,7 +478,7 @@
             proxy.unserved_since = None;
             return;
         }
-        let since = *proxy.unserved_since.get_or_insert(self.now);
+        let since = (*proxy.unserved_since.get_or_insert(self.now)).max(self.limits_start_at);
         if self.now <= since + MAX_UNSERVED_TIME + TOLERANCE {
             return;
         }
