Keep deferrable changes within the queue target, so that drains still fit behind them

What callers saw: drains that came right after a batch of weight changes arrived after the grace, on a channel slower than configured.

Cause: a batch of changes that can wait was sized by what the channel sends until the next batch, at the rate learned so far: at the report's size up to half of the capacity, 1.5 s of the channel at its told rate and 3.7 s at 0.4 of it. Every drain that follows waits behind it.

Change: such a batch fills the queue to its target, a quarter of what a grace delivers. Where one message to each proxy does not fit into that, one with as many lines of changes as of overhead may go while the channel keeps up.

--- a/src/channel/updates.rs
+++ b/src/channel/updates.rs
@@ -104,7 +104,7 @@
             queue_is_long,
             urgent_lines: lines(urgent_share(&self.pacing)),
             admission_limit_lines,
-            deferrable_lines: lines(self.deferrable_share_until_next_batch(overhead, interval, now)),
+            deferrable_lines: lines(self.deferrable_capacity_share(overhead, now)),
         }
     }
 
@@ -115,13 +115,13 @@
         MIN_BATCH_INTERVAL.max(by_overhead as Nanos)
     }
 
-    /// Share of the capacity that deferrable changes may fill: no more than is sent until the next batch,
-    /// since urgent changes would wait behind it.
-    fn deferrable_share_until_next_batch(&self, overhead_lines: f64, interval: Nanos, now: Nanos) -> f64 {
-        let until_next =
-            if self.keeps_up(now) { self.pacing.learned_lines_per_ns() * interval as f64 } else { 0.0 };
-        let sent_by_then = (self.pacing.queue_target() + until_next) / self.pacing.capacity_lines;
-        deferrable_share(&self.pacing, overhead_lines).min(sent_by_then)
+    /// Share of the capacity that deferrable changes may fill: no more than the queue target, since urgent
+    /// changes wait behind them, but while the channel keeps up at least one message to each proxy, with as
+    /// many lines of changes as of overhead.
+    fn deferrable_capacity_share(&self, overhead_lines: f64, now: Nanos) -> f64 {
+        let least = if self.keeps_up(now) { 2.0 * overhead_lines } else { 0.0 };
+        let target = self.pacing.queue_target().max(least) / self.pacing.capacity_lines;
+        deferrable_share(&self.pacing, overhead_lines).min(target)
     }
 
     /// Whether another message would exceed the message limit at present.
