Send removals alone where the rest of the flush could make them late

What callers saw: the last proxies got a drain seconds after the first.

Cause: all that a flush sends becomes one message per proxy. Weight reductions of warming servers, which have no deadline, had the same priority as removals; where many servers had just returned, 36 removals shared their messages with some 70 reductions, and each proxy waited for the messages of all before it.

Change: removals have a priority of their own. Where everything that waits, sent now, would arrive after a removal's deadline on a channel at 0.4 of the learned rate, the flush sends only the removals and urgent assignments; the next flush goes on with the rest.

--- a/src/channel.rs
+++ b/src/channel.rs
@@ -20,8 +20,8 @@
 
 use assignment::AssignmentScope;
 use capacity_shares::{ASSIGNMENT_CAPACITY_SHARE, DEFERRABLE_CAPACITY_SHARE};
+use changes::Audience;
 pub(crate) use changes::MIN_WEIGHT_CHANGE;
-use changes::{Audience, Priority};
 use readmissions::Readmissions;
 use sent::SentState;
 use unaccounted_lines::UnaccountedLines;
@@ -32,6 +32,7 @@
 mod changes;
 mod coalescing;
 mod exclusions;
+mod lone_removals;
 mod obligations;
 mod readmissions;
 mod sent;
@@ -167,9 +168,14 @@
             self.assign_tables(AssignmentScope::Urgent, mailboxes);
         }
         let mut changes = self.differing_lines(now);
-        changes.retain(|change| change.priority == Priority::Urgent && change.audience == Audience::All);
+        let removals_go_alone = self.removals_go_alone(&changes, now);
+        changes.retain(|change| change.is_urgent() && change.audience == Audience::All);
+        changes.retain(|change| change.is_removal() || !removals_go_alone);
         let mut all_urgent_sent = self.send_updates(changes, mailboxes);
         self.assign_tables(AssignmentScope::Urgent, mailboxes);
+        if removals_go_alone {
+            return self.log_deadlines(mailboxes);
+        }
         // Assignments are sent before deferrable changes while their quota from the last batch is not used
         // up, or when no urgent change is waiting.
         if self.assignment_quota > 0.0 || all_urgent_sent {
--- a/src/channel/assignment.rs
+++ b/src/channel/assignment.rs
@@ -122,7 +122,8 @@
         urgent.get(&FULL_TABLE).map_or(now + self.drain_grace, |urgent| urgent.deadline)
     }
 
-    fn assignment_lines(&self, proxy: &Proxy, size: &TableSize) -> f64 {
+    /// Number of lines of the message that assigns a table of this size to a proxy.
+    pub(super) fn assignment_lines(&self, proxy: &Proxy, size: &TableSize) -> f64 {
         let readmissions = if proxy.holds_foreign_state { size.readmissions } else { 0.0 };
         self.pacing.message_overhead + size.lines + readmissions
     }
--- a/src/channel/changes.rs
+++ b/src/channel/changes.rs
@@ -4,6 +4,7 @@
 
 use super::Channel;
 use crate::interface::{Nanos, ServerId, TableId};
+use crate::message::DesiredState;
 use crate::tables::{TableLine, EXCLUSIONS, FULL_TABLE};
 
 #[cfg(test)]
@@ -17,8 +18,9 @@
 /// How soon a change is sent, most urgent first. Changes of the last two priorities are deferrable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Priority {
-    /// The change has a deadline or protects a server: a server drains, was removed or is warming up, or a
-    /// table lacks servers.
+    /// The change has a deadline: a server drains or was removed.
+    Removal,
+    /// The change protects a server or a proxy: a server is warming up, or a table lacks servers.
     Urgent,
     /// Removals of servers from a table, and additions to a subset while proxies are not isolated.
     Elevated,
@@ -50,9 +52,14 @@
 }
 
 impl Change {
-    /// Returns whether the change has [`Priority::Urgent`].
+    /// Whether the change has [`Priority::Urgent`] or a deadline.
     pub(super) fn is_urgent(&self) -> bool {
-        self.priority == Priority::Urgent
+        self.priority <= Priority::Urgent
+    }
+
+    /// Whether the change has a deadline.
+    pub(super) fn is_removal(&self) -> bool {
+        self.priority == Priority::Removal
     }
 }
 
@@ -142,19 +149,21 @@
         // exclusions: an exclusion also reaches users of a table that still contains the server.
         let sort_key =
             if desired.must_exclude { f64::MAX / (1.0 + f64::from(line.table)) } else { weight_change };
-        let priority = self.priority(line, sent, weight, desired.unstable);
+        let priority = self.priority(line, sent, weight, &desired);
         let audience = if repeats { Audience::NewlyJoined } else { Audience::All };
         let readmits_joined_after = channel.readmits_joined_after(line, weight);
         Some(Change { line, weight, priority, sort_key, audience, readmits_joined_after })
     }
 
-    fn priority(&self, line: TableLine, sent: f64, weight: f64, server_is_unstable: bool) -> Priority {
+    fn priority(&self, line: TableLine, sent: f64, weight: f64, desired: &DesiredState) -> Priority {
         let joins_subset = sent == 0.0 && weight > 0.0 && line.table > FULL_TABLE;
         let is_needed = self.lacks_servers(line.table)
-            || (self.replenishes_early && self.lacks_weight(line.table) && !server_is_unstable);
+            || (self.replenishes_early && self.lacks_weight(line.table) && !desired.unstable);
         let excludes = line.table == EXCLUSIONS && weight > sent;
-        let reduces_urgently = server_is_unstable && weight < sent;
-        if reduces_urgently || (joins_subset && is_needed) || excludes {
+        let reduces_urgently = desired.unstable && weight < sent;
+        if excludes || (reduces_urgently && desired.unready) {
+            Priority::Removal
+        } else if reduces_urgently || (joins_subset && is_needed) {
             Priority::Urgent
         } else if weight > 0.0 && (self.channel.isolated || !joins_subset) {
             Priority::Ordinary
--- /dev/null
+++ b/src/channel/lone_removals.rs
@@ -0,0 +1,49 @@
+//! Removals that are sent alone. All actions of a flush become one message per proxy, so the last proxy
+//! receives its removals behind everything that the flush sends to the others. Where that could be too late
+//! on a channel that has slowed down, the flush sends only the removals, and later flushes the rest.
+
+use std::collections::BTreeSet;
+
+use super::changes::{Audience, Change};
+use super::Channel;
+use crate::interface::{Nanos, TableId};
+
+impl Channel {
+    /// Whether this flush sends nothing but removals and what else has a deadline. `changes` are all lines
+    /// that differ from what was sent.
+    pub(super) fn removals_go_alone(&self, changes: &[Change], now: Nanos) -> bool {
+        let users_by_table = self.proxies.users_by_table();
+        let is_sent = |change: &&Change| {
+            change.is_removal()
+                && change.audience == Audience::All
+                && users_by_table.contains_key(&change.line.table)
+        };
+        let removals = changes.iter().filter(is_sent);
+        let Some(deadline) = removals.map(|change| self.removal_deadline(change.line.server, now)).min()
+        else {
+            return false;
+        };
+        let lines = self.lines_of(changes) + self.lines_of_waiting_assignments();
+        self.pacing.cautious_forecast(now).arrival(lines) > deadline
+    }
+
+    /// Number of lines of one message with these changes to each user of their tables.
+    fn lines_of(&self, changes: &[Change]) -> f64 {
+        let users_by_table = self.proxies.users_by_table();
+        let users = |table: &TableId| users_by_table.get(table).copied().unwrap_or_default();
+        let tables: BTreeSet<TableId> = changes.iter().map(|change| change.line.table).collect();
+        let overhead: f64 = tables.iter().map(|table| users(table) * self.message_cost()).sum();
+        overhead + changes.iter().map(|change| users(&change.line.table)).sum::<f64>()
+    }
+
+    /// Number of lines of all waiting assignments.
+    fn lines_of_waiting_assignments(&self) -> f64 {
+        let sizes = self.table_sizes();
+        let waiting =
+            self.proxies.by_id.values().filter(|proxy| proxy.assigned_table != Some(proxy.intended_table));
+        let lines = waiting.filter_map(|proxy| {
+            sizes.get(&proxy.intended_table).map(|size| self.assignment_lines(proxy, size))
+        });
+        lines.sum()
+    }
+}
--- a/src/pacing.rs
+++ b/src/pacing.rs
@@ -25,6 +25,9 @@
 /// grace period: lines that become due next must not wait longer than that.
 const QUEUE_TARGET_GRACE_SHARE: f64 = 0.25;
 
+/// Share of the learned rate at which drains must still arrive in time.
+const CAUTIOUS_RATE_SHARE: f64 = 0.4;
+
 /// Parameters of the channel, and the estimate of its queue. Rates are in lines per nanosecond.
 #[derive(Debug, Default)]
 pub(crate) struct Pacing {
@@ -101,6 +104,13 @@
         }
     }
 
+    /// Forecast for a channel that has slowed down since the last acknowledgement, to
+    /// [`CAUTIOUS_RATE_SHARE`] of the learned rate.
+    pub(crate) fn cautious_forecast(&self, now: Nanos) -> DeliveryForecast {
+        let lines_per_ns = CAUTIOUS_RATE_SHARE * self.learned_lines_per_ns();
+        DeliveryForecast { lines_per_ns, transit: self.worst_transit, ..self.forecast(now) }
+    }
+
     /// Records sent lines and requests their acknowledgement. All actions of one flush form one message per
     /// proxy, with a single mark.
     pub(crate) fn record_sent(
