Choose tables for joining proxies by a rate that the channel may have fallen to

What callers saw: after a restart, drains were late at proxies that had rejoined last.

Cause: a process that has just started takes the told rate for granted. At that rate full tables for all proxies just fit into the grace, so it queued 115 of them before the first acknowledgements showed 0.4 of the rate; the other 205 proxies, whose servers drained too, waited behind these and behind changes.

Change: whether full tables of newly joined proxies and all drains are in time is forecast at 0.4 of the learned rate and the longest transit. If not, they get fallback subsets, a tenth of the lines.

--- a/src/channel/table_choice.rs
+++ b/src/channel/table_choice.rs
@@ -8,7 +8,7 @@
 
 use super::obligations::UrgentLines;
 use super::Channel;
-use crate::deadlines::Obligation;
+use crate::deadlines::{DeliveryForecast, Obligation};
 use crate::interface::{Nanos, ProxyId, TableId};
 use crate::proxies::Proxy;
 use crate::subsets::fallback_subset_size;
@@ -35,7 +35,7 @@
         let updates = self.urgent_change_obligations(&urgent);
         let newly_joined = self.newly_joined_obligations(now);
         let mut obligations: Vec<Obligation> = updates.iter().chain(&newly_joined).copied().collect();
-        if self.pacing.forecast(now).meets_all(&mut obligations) {
+        if self.forecast_for_table_choice(&newly_joined, now).meets_all(&mut obligations) {
             return self.restore_full_table(now, urgent.is_empty());
         }
         self.last_behind_at = Some(now);
@@ -50,6 +50,16 @@
         self.keep_fallback_subsets();
     }
 
+    /// Forecast by which tables are chosen. Tables of newly joined proxies cannot be taken back once they are
+    /// queued, so they must be in time even if the channel has slowed down.
+    fn forecast_for_table_choice(&self, newly_joined: &[Obligation], now: Nanos) -> DeliveryForecast {
+        if newly_joined.is_empty() {
+            self.pacing.forecast(now)
+        } else {
+            self.pacing.cautious_forecast(now)
+        }
+    }
+
     fn move_to_fallback_subsets(&mut self, proxies: &[ProxyId]) {
         self.subsets.move_to_fallback_subsets(proxies, &mut self.proxies, &self.desired_states);
     }
