Bound weight reductions by the queue target, and count the readmissions of fallback subsets

What callers saw: proxies that rejoined just after servers had returned got their first table late.

Cause: reductions of warming servers could fill eight tenths of the channel's capacity, 2.4 s at the told rate and 6 s at 0.4 of it, although they have no deadline and what joins or drains next has one. Beside it the obligations of joining proxies left out the readmissions in a fallback subset, up to 8 of 31 lines.

Change: reductions have a priority of their own, after tables that lack servers, and fill the queue to its target, or to one message to each proxy with as many lines of changes as of overhead; the obligations count the mean number of readmissions.

--- a/src/channel/changes.rs
+++ b/src/channel/changes.rs
@@ -20,8 +20,10 @@
 pub(super) enum Priority {
     /// The change has a deadline: a server drains or was removed.
     Removal,
-    /// The change protects a server or a proxy: a server is warming up, or a table lacks servers.
-    Urgent,
+    /// A table lacks servers.
+    Replenishment,
+    /// The change protects a server that is warming up.
+    Reduction,
     /// Removals of servers from a table, and additions to a subset while proxies are not isolated.
     Elevated,
     /// Changes that only improve the distribution of load.
@@ -52,9 +54,9 @@
 }
 
 impl Change {
-    /// Whether the change has [`Priority::Urgent`] or a deadline.
+    /// Whether the change is sent at any flush, and not only in batches at intervals.
     pub(super) fn is_urgent(&self) -> bool {
-        self.priority <= Priority::Urgent
+        self.priority <= Priority::Reduction
     }
 
     /// Whether the change has a deadline.
@@ -163,8 +165,10 @@
         let reduces_urgently = desired.unstable && weight < sent;
         if excludes || (reduces_urgently && desired.unready) {
             Priority::Removal
-        } else if reduces_urgently || (joins_subset && is_needed) {
-            Priority::Urgent
+        } else if joins_subset && is_needed {
+            Priority::Replenishment
+        } else if reduces_urgently {
+            Priority::Reduction
         } else if weight > 0.0 && (self.channel.isolated || !joins_subset) {
             Priority::Ordinary
         } else {
--- a/src/channel/obligations.rs
+++ b/src/channel/obligations.rs
@@ -8,7 +8,7 @@
 use crate::deadlines::Obligation;
 use crate::interface::{Nanos, ServerId, TableId};
 use crate::proxies::Proxy;
-use crate::subsets::fallback_subset_size;
+use crate::subsets::{fallback_readmissions, fallback_subset_size};
 use crate::tables::{EXCLUSIONS, FULL_TABLE};
 
 /// Length of the recent past, as a share of the drain grace period: as many proxies are expected to join next
@@ -91,12 +91,12 @@
     /// Number of lines of the message that assigns a proxy its first table.
     fn first_message_lines(&self, proxy: &Proxy, full_table: TableSize) -> f64 {
         let on_subset = proxy.intended_table != FULL_TABLE;
-        let table = if on_subset {
-            self.fallback_message_lines()
+        let (table, readmissions) = if on_subset {
+            (self.fallback_message_lines(), fallback_readmissions(&self.desired_states))
         } else {
-            self.pacing.message_overhead + full_table.lines
+            (self.pacing.message_overhead + full_table.lines, full_table.readmissions)
         };
-        table + if proxy.holds_foreign_state && !on_subset { full_table.readmissions } else { 0.0 }
+        table + if proxy.holds_foreign_state { readmissions } else { 0.0 }
     }
 
     /// Number of lines of a message that assigns a fallback subset.
--- a/src/channel/updates.rs
+++ b/src/channel/updates.rs
@@ -42,6 +42,7 @@
     /// The queue is too long to add deferrable changes.
     queue_is_long: bool,
     urgent_lines: f64,
+    reduction_lines: f64,
     admission_limit_lines: f64,
     deferrable_lines: f64,
 }
@@ -103,6 +104,7 @@
             takes_deferrable: interval_is_over && !queue_is_long && !assignments_go_first,
             queue_is_long,
             urgent_lines: lines(urgent_share(&self.pacing)),
+            reduction_lines: lines(self.reduction_capacity_share(overhead)),
             admission_limit_lines,
             deferrable_lines: lines(self.deferrable_capacity_share(overhead, now)),
         }
@@ -115,6 +117,13 @@
         MIN_BATCH_INTERVAL.max(by_overhead as Nanos)
     }
 
+    /// Share of the capacity that reductions may fill. They protect servers, but removals and newly joined
+    /// proxies, which have deadlines, may come next.
+    fn reduction_capacity_share(&self, overhead_lines: f64) -> f64 {
+        let target = self.pacing.queue_target().max(2.0 * overhead_lines) / self.pacing.capacity_lines;
+        urgent_share(&self.pacing).min(target)
+    }
+
     /// Share of the capacity that deferrable changes may fill: no more than the queue target, since urgent
     /// changes wait behind them, but while the channel keeps up at least one message to each proxy, with as
     /// many lines of changes as of overhead.
@@ -241,7 +250,9 @@
 ) -> bool {
     let table = change.line.table;
     if change.is_urgent() {
-        return worth_updating.contains(&table) && batch.try_add_change(change, allowance.urgent_lines);
+        let is_reduction = change.priority == Priority::Reduction;
+        let lines = if is_reduction { allowance.reduction_lines } else { allowance.urgent_lines };
+        return worth_updating.contains(&table) && batch.try_add_change(change, lines);
     }
     let waits_for_assignments = change.priority == Priority::Ordinary
         && batch.has_unassigned_proxies()
--- a/src/subsets.rs
+++ b/src/subsets.rs
@@ -10,7 +10,7 @@
 use crate::proxies::Proxies;
 use crate::tables::{DesiredStates, TableLine, FULL_TABLE};
 
-pub(crate) use fallback_subsets::fallback_subset_size;
+pub(crate) use fallback_subsets::{fallback_readmissions, fallback_subset_size};
 
 mod fallback_subsets;
 mod isolation_groups;
--- a/src/subsets/fallback_subsets.rs
+++ b/src/subsets/fallback_subsets.rs
@@ -14,6 +14,14 @@
     desired.values().filter(|desired| is_stable(desired)).count().min(FALLBACK_SUBSET_SERVERS)
 }
 
+/// Mean number of servers of a fallback subset that have returned: a proxy with another supervisor's state is
+/// told to readmit them.
+pub(crate) fn fallback_readmissions(desired: &DesiredStates) -> f64 {
+    let stable = || desired.values().filter(|desired| is_stable(desired));
+    let returned = stable().filter(|desired| desired.has_returned).count();
+    fallback_subset_size(desired) as f64 * returned as f64 / stable().count().max(1) as f64
+}
+
 /// Warm servers with a weight, ordered by locality, then by id.
 fn stable_servers_by_locality(desired: &DesiredStates) -> Vec<WeightedServer> {
     let mut servers = stable_servers(desired);
