Send replenishments of tables with removals, since a rule says when they must arrive

Cause: sends removals alone where the rest could make them late, and held back the servers for tables that lack some with the rest. The suite was not run on as a whole.

Change: replenishments go with the removals; and where removals themselves wait, proxies without a table are assigned theirs within the share for deferrable changes, as before.

--- a/src/channel.rs
+++ b/src/channel.rs
@@ -170,10 +170,16 @@
         let mut changes = self.differing_lines(now);
         let removals_go_alone = self.removals_go_alone(&changes, now);
         changes.retain(|change| change.is_urgent() && change.audience == Audience::All);
-        changes.retain(|change| change.is_removal() || !removals_go_alone);
+        changes.retain(|change| change.has_deadline() || !removals_go_alone);
+        let actions_before = mailboxes.actions.len();
         let mut all_urgent_sent = self.send_updates(changes, mailboxes);
         self.assign_tables(AssignmentScope::Urgent, mailboxes);
         if removals_go_alone {
+            // Removals that wait themselves must not keep proxies without a table for long.
+            if mailboxes.actions.len() == actions_before {
+                let capacity_share = DEFERRABLE_CAPACITY_SHARE;
+                self.assign_tables(AssignmentScope::All { capacity_share }, mailboxes);
+            }
             return self.log_deadlines(mailboxes);
         }
         // Assignments are sent before deferrable changes while their quota from the last batch is not used
--- a/src/channel/changes.rs
+++ b/src/channel/changes.rs
@@ -59,10 +59,15 @@
         self.priority <= Priority::Reduction
     }
 
-    /// Whether the change has a deadline.
+    /// Whether the change removes a server that drains or was removed.
     pub(super) fn is_removal(&self) -> bool {
         self.priority == Priority::Removal
     }
+
+    /// Whether a rule says by when the change must arrive.
+    pub(super) fn has_deadline(&self) -> bool {
+        self.priority <= Priority::Replenishment
+    }
 }
 
 /// Servers of a table that were sent and are still desired.
