Count the message limit for each proxy, as the rule does

Cause: one counter for all proxies added each flush that wrote to any of them, so that 36 proxies that joined one after the other reached a limit of 30, though each was written one message.

Change: the limit is counted for each proxy, over all its connections; a table is updated while none of its users has reached it, and a proxy that has is assigned no table.

--- a/src/channel/assignment.rs
+++ b/src/channel/assignment.rs
@@ -91,7 +91,8 @@
         for (&id, proxy) in &self.proxies.by_id {
             let table = proxy.intended_table;
             let is_due = scope != AssignmentScope::Urgent || self.is_urgent_assignment(proxy);
-            if proxy.assigned_table == Some(table) || !is_due {
+            let is_limited = self.pacing.message_limit.is_reached(id, 1.0, now);
+            if proxy.assigned_table == Some(table) || !is_due || is_limited {
                 continue;
             }
             let Some(size) = sizes.get(&table) else { continue };
--- a/src/channel/updates.rs
+++ b/src/channel/updates.rs
@@ -47,6 +47,21 @@
     deferrable_lines: f64,
 }
 
+/// Tables that are not updated at present, since a user has reached the message limit.
+#[derive(Debug, Default)]
+struct LimitedTables {
+    for_all_changes: BTreeSet<TableId>,
+    for_deferrable_changes: BTreeSet<TableId>,
+}
+
+impl LimitedTables {
+    /// Whether a change of a table must wait.
+    fn holds_back(&self, table: TableId, is_urgent: bool) -> bool {
+        let limited = if is_urgent { &self.for_all_changes } else { &self.for_deferrable_changes };
+        limited.contains(&table)
+    }
+}
+
 impl Channel {
     /// Sends as many of the changes and of the differing admission limits as the channel takes. Returns
     /// whether all urgent changes were sent.
@@ -57,15 +72,17 @@
         let urgent = changes.iter().filter(|change| change.is_urgent()).count();
         let mut batch = Batch::new(&self.proxies, self.message_cost());
         let allowance = self.allowance(&batch, now);
-        if (urgent == 0 && !allowance.takes_deferrable) || self.reaches_message_limit(urgent) {
-            return urgent == 0;
+        if urgent == 0 && !allowance.takes_deferrable {
+            return true;
         }
+        let limited = self.limited_tables(now);
+        changes.retain(|change| !limited.holds_back(change.line.table, change.is_urgent()));
         let tables = self.tables_to_update(&changes, &batch, &allowance);
         if allowance.queue_is_long && self.may_coalesce(&changes, &batch, now) {
             return false;
         }
         changes.retain(|change| try_add_change(change, &tables, &allowance, &mut batch));
-        let limits = self.take_fitting_limits(&allowance, &mut batch);
+        let limits = self.take_fitting_limits(&allowance, &limited, &mut batch);
         let urgent_sent = changes.iter().filter(|change| change.is_urgent()).count();
         let all_urgent_sent = urgent_sent == urgent;
         if changes.is_empty() && limits.is_empty() {
@@ -133,10 +150,22 @@
         deferrable_share(&self.pacing, overhead_lines).min(target)
     }
 
-    /// Whether another message would exceed the message limit at present.
-    fn reaches_message_limit(&self, urgent: usize) -> bool {
-        let share = if urgent > 0 { 1.0 } else { DEFERRABLE_MESSAGE_SHARE };
-        self.pacing.message_limit.is_reached(share)
+    /// The tables with a user for whom another message would exceed the message limit at present.
+    fn limited_tables(&self, now: Nanos) -> LimitedTables {
+        let mut limited = LimitedTables::default();
+        let limit = &self.pacing.message_limit;
+        if !limit.exists() {
+            return limited;
+        }
+        for (&id, proxy) in &self.proxies.by_id {
+            if limit.is_reached(id, 1.0, now) {
+                limited.for_all_changes.insert(proxy.receives_table());
+            }
+            if limit.is_reached(id, DEFERRABLE_MESSAGE_SHARE, now) {
+                limited.for_deferrable_changes.insert(proxy.receives_table());
+            }
+        }
+        limited
     }
 
     /// Returns the tables with urgent changes for which at least as many lines fit as their messages'
@@ -167,13 +196,21 @@
     }
 
     /// Returns the differing admission limits that fit into the batch.
-    fn take_fitting_limits(&self, allowance: &Allowance, batch: &mut Batch) -> Vec<TableLimit> {
+    fn take_fitting_limits(
+        &self,
+        allowance: &Allowance,
+        limited: &LimitedTables,
+        batch: &mut Batch,
+    ) -> Vec<TableLimit> {
         if !allowance.takes_deferrable {
             return Vec::new();
         }
         let tables = self.proxies.used_or_intended_tables();
         let mut limits = self.sent.differing_limits(tables, &self.admission_limits);
-        limits.retain(|limit| batch.try_add(limit.table, Audience::All, allowance.admission_limit_lines));
+        limits.retain(|limit| {
+            !limited.holds_back(limit.table, false)
+                && batch.try_add(limit.table, Audience::All, allowance.admission_limit_lines)
+        });
         limits
     }
 
--- a/src/channel/updates/tests.rs
+++ b/src/channel/updates/tests.rs
@@ -37,6 +37,22 @@
     assert!((1..4).contains(&messages), "{messages}");
 }
 
+/// Guards against joins of other proxies that use up a proxy's message limit, so that drains wait for seconds.
+#[rstest]
+fn joins_leave_the_message_limit_of_other_proxies_to_drains(mut config: ControllerConfig) {
+    (config.message_limit, config.proxy_count) = (10, 40);
+    let mut controller = running_controller(&config);
+    for proxy in 2..40 {
+        let now = START + Nanos::from(proxy) * SECOND / 20;
+        decide_acknowledged(&mut controller, now, vec![joined(proxy)]);
+    }
+    let actions = decide_acknowledged(&mut controller, START + 2 * SECOND, list_changes([draining(1)]));
+    assert!(
+        actions.contains(&Action::SetWeight { table: FULL_TABLE, server: 1, weight: 0.0 }),
+        "{actions:?}"
+    );
+}
+
 #[rstest]
 fn changes_are_coalesced_longer_where_overhead_would_fill_the_channel(config: ControllerConfig) {
     // With 300 proxies, 6 lines of overhead each and 1,000 lines per second, overhead alone takes the channel
--- a/src/pacing.rs
+++ b/src/pacing.rs
@@ -125,6 +125,8 @@
         let due = mailboxes.now + sending_time + self.mean_transit;
         let last_mark = self.pending_marks.get_mut(&self.last_serial.into());
         if let Some(mark) = last_mark.filter(|mark| mark.sent_at == mailboxes.now) {
+            let added = recipients.difference(&mark.awaiting).copied().collect();
+            self.message_limit.record_messages(&added, mailboxes.now);
             mark.awaiting.extend(recipients);
             mark.lines += lines;
             mark.messages = mark.awaiting.len();
@@ -132,6 +134,7 @@
             mark.queued_lines = self.queued_lines;
             return;
         }
+        self.message_limit.record_messages(&recipients, mailboxes.now);
         self.last_serial = self.last_serial.wrapping_add(1);
         let mark = PendingMark {
             sent_at: mailboxes.now,
@@ -142,7 +145,6 @@
             due,
         };
         self.pending_marks.insert(self.last_serial.into(), mark);
-        self.message_limit.record_message();
         mailboxes.actions.push(Action::RequestAck { serial: self.last_serial, everyone: false });
     }
 
@@ -178,7 +180,6 @@
     pub(crate) fn update_queue(&mut self, now: Nanos) -> f64 {
         let elapsed = now.saturating_sub(self.updated_at) as f64;
         self.updated_at = now;
-        self.message_limit.advance(elapsed);
         self.drop_settled_marks(now);
         // Lines that are unacknowledged and not in transit are still queued.
         let in_transit = if self.has_late_mark(now) { 0.0 } else { self.lines_in_transit() };
--- a/src/pacing/message_limit.rs
+++ b/src/pacing/message_limit.rs
@@ -1,17 +1,27 @@
-//! The limit on the number of messages that a supervisor may write per window. Updates check it before they
-//! write.
+//! The limit on the number of messages that a supervisor may write to one proxy per window. Updates and
+//! assignments check it before they write.
 
-use crate::interface::Nanos;
+use std::collections::{BTreeMap, BTreeSet};
 
-/// Messages written recently, and their limit. Half of the limit may be written at once, the other half over
-/// the window.
-#[derive(Clone, Copy, Debug, Default)]
+use crate::interface::{Nanos, ProxyId};
+
+/// Messages written to each proxy recently, and their limit. Half of the limit may be written at once, the
+/// other half over the window.
+#[derive(Clone, Debug, Default)]
 pub(crate) struct MessageLimit {
     /// Half of the limit; infinite without a limit.
     half_limit: f64,
     window: Nanos,
-    /// Messages written recently; falls by `half_limit` per window.
-    recent: f64,
+    /// Kept when a proxy leaves, since the limit holds for all its connections together.
+    recent: BTreeMap<ProxyId, RecentMessages>,
+}
+
+/// Messages written to one proxy recently.
+#[derive(Clone, Copy, Debug, Default)]
+struct RecentMessages {
+    /// Their number at `updated_at`; falls by half of the limit per window.
+    count: f64,
+    updated_at: Nanos,
 }
 
 impl MessageLimit {
@@ -21,22 +31,34 @@
             0 => f64::INFINITY,
             limit => f64::from(limit) / 2.0,
         };
-        MessageLimit { half_limit, window: window.max(1), recent: 0.0 }
+        MessageLimit { half_limit, window: window.max(1), recent: BTreeMap::new() }
+    }
+
+    /// Whether there is a limit.
+    pub(crate) fn exists(&self) -> bool {
+        self.half_limit.is_finite()
     }
 
-    /// Advances the time by `elapsed` nanoseconds.
-    pub(super) fn advance(&mut self, elapsed: f64) {
-        self.recent = (self.recent - self.half_limit * elapsed / self.window as f64).max(0.0);
+    /// Counts a message to each of these proxies.
+    pub(super) fn record_messages(&mut self, proxies: &BTreeSet<ProxyId>, now: Nanos) {
+        if !self.exists() {
+            return;
+        }
+        for &proxy in proxies {
+            let count = self.recent_messages(proxy, now) + 1.0;
+            self.recent.insert(proxy, RecentMessages { count, updated_at: now });
+        }
     }
 
-    /// Counts a written message.
-    pub(super) fn record_message(&mut self) {
-        self.recent += 1.0;
+    /// Whether another message to the proxy would exceed the given share of what may be written at once; a
+    /// single message is always allowed.
+    pub(crate) fn is_reached(&self, proxy: ProxyId, share: f64, now: Nanos) -> bool {
+        self.recent_messages(proxy, now) + 1.0 > (self.half_limit * share).max(1.0)
     }
 
-    /// Whether another message would exceed the given share of what may be written at once; a single message
-    /// is always allowed.
-    pub(crate) fn is_reached(&self, share: f64) -> bool {
-        self.recent + 1.0 > (self.half_limit * share).max(1.0)
+    fn recent_messages(&self, proxy: ProxyId, now: Nanos) -> f64 {
+        let Some(recent) = self.recent.get(&proxy) else { return 0.0 };
+        let windows = now.saturating_sub(recent.updated_at) as f64 / self.window as f64;
+        (recent.count - self.half_limit * windows).max(0.0)
     }
 }
