--- a/src/channel/capacity_shares.rs
+++ b/src/channel/capacity_shares.rs
@@ -4,7 +4,7 @@
 use crate::pacing::Pacing;
 
 /// Share of the channel's capacity, 0 to 1, that deferrable changes may fill where overhead is large. Updates
-/// further limit them to what the channel sends until the next batch.
+/// further limit them to the queue target.
 pub(super) const DEFERRABLE_CAPACITY_SHARE: f64 = 0.3;
 /// Share of the capacity for table assignments and admission limits.
 pub(super) const ASSIGNMENT_CAPACITY_SHARE: f64 = 0.5;
--- a/src/channel/lone_removals.rs
+++ b/src/channel/lone_removals.rs
@@ -1,6 +1,7 @@
 //! Removals that are sent alone. All actions of a flush become one message per proxy, so the last proxy
 //! receives its removals behind everything that the flush sends to the others. Where that could be too late
-//! on a channel that has slowed down, the flush sends only the removals, and later flushes the rest.
+//! on a channel that has slowed down, the flush sends only the removals, servers for tables that lack some, and
+//! urgent assignments; later flushes send the rest.
 
 use std::collections::BTreeSet;
 
@@ -9,7 +10,8 @@
 use crate::interface::{Nanos, TableId};
 
 impl Channel {
-    /// Whether this flush sends nothing but removals and what else has a deadline. `changes` are all lines
+    /// Whether this flush sends only what has a deadline, since it sends removals that the rest could make
+    /// late. `changes` are all lines
     /// that differ from what was sent.
     pub(super) fn removals_go_alone(&self, changes: &[Change], now: Nanos) -> bool {
         let users_by_table = self.proxies.users_by_table();
