Review case 6: tables run empty once all proxies have come to one supervisor

Cause: additions to the full table are deferrable, and one line to 110 proxies or more costs more than the share of the channel that deferrable changes may fill. Change: a script with stand-ins for the platform; nothing is fixed.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,14 @@
+#!/bin/sh
+# Prepares the stand-ins of review/6 and up. They are Python programs of review/standins-2, which need no build, and
+# use nothing but Python's library; this checks that they can be read.
+set -eu
+cd "$(dirname "$0")"
+python3 - standins-2/*.py [0-9]*/scenario.py <<'PYTHON'
+import sys
+
+if sys.version_info < (3, 11):
+    sys.exit("Python 3.11 or later is needed")
+for path in sys.argv[1:]:
+    with open(path, encoding="utf-8") as file:
+        compile(file.read(), path, "exec")
+PYTHON
