--- a/review/6/scenario.py
+++ b/review/6/scenario.py
@@ -16,6 +16,7 @@
 ZONES = ["hal-brondby", "hal-albertslund", "hal-ishoj"]
 PROXIES, SERVERS = 150, 30  # DAYS: two supervisors steer 150 proxies and 30 servers
 REQUESTS_PER_S = 130.0
+LINES_PER_S, BACKLOG = 3600.0, 5400.0  # BRIEF: 2,700 to 3,600 lines a second, and at least what it sends in 1.5 s
 RESTART_S = 3.0
 REPLACED_WITHIN_S = 40.0  # BRIEF: a rolling deploy replaces up to 95% of the runners within 21 to 40 s
 WATCHED_S = 12.0
@@ -72,6 +73,7 @@
 def main():
     settings = base_settings(ZONES, PROXIES)
     settings["fleet_size"] = 2
+    settings["family_info"]["lines_per_s"], settings["family_info"]["backlog"] = LINES_PER_S, BACKLOG
     world = World(FOLDER, settings, seed=int(os.environ.get("SEED", "1")))
     for index in range(SERVERS):
         world.fleet.add(Server(new_name(world), ZONES[index % len(ZONES)]))
