Let an idle channel send the smallest change, whatever share the bounds leave

Cause: deferrable changes may fill a share of the channel that falls to 0.3 with many proxies (1,620 of 5,400 lines), and one line to each of 150 proxies takes 1,800. Bounds on reductions, admission limits and parts of removals had the same form. An addition to an empty full table was no replenishment, and admission limits that changed each second began the batch interval anew, so that weights never went.

Change: an idle channel takes a worthwhile message to each proxy as long as a removal that comes next is in time, and in any case one line to each user of a table. Tables of any kind that lack servers are replenished. Admission limits and changes share a batch and take turns in going first. The bounds move from updates.rs to allowance.rs.

--- a/crates/platform-supervisor/tests/common/mod.rs
+++ b/crates/platform-supervisor/tests/common/mod.rs
@@ -10,6 +10,9 @@
 /// Nanoseconds per millisecond.
 pub const MS: u64 = 1_000_000;
 
+/// Window of the limit on messages to one proxy, in ms.
+pub const MESSAGE_WINDOW_MS: u64 = 10_000;
+
 /// The head of discovery's response to a watch.
 pub const WATCH_HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 /// The chunk that discovery sends when nothing has changed.
@@ -78,6 +81,8 @@
     pub mean_transit_ms: f64,
     pub worst_transit_ms: f64,
     pub drain_grace_ms: f64,
+    /// Maximum number of messages to one proxy within [`MESSAGE_WINDOW_MS`]; 0: no limit.
+    pub message_limit: u32,
     /// Which load columns exist and how the platform delivers load reports.
     pub load_info: Value,
     /// Whether health checks are allowed.
@@ -95,6 +100,7 @@
         "classes": [{"deadline_ms": 3000.0, "effect": "pure", "name": "look", "slo_ms": 1000.0, "worth": 1.0}],
         "family_info": {"admit": "off", "backlog": options.channel_capacity, "cycle_ms": 1000.0,
             "empty_for_ms": 3000.0, "first_wait": 0.8, "lines_per_s": options.lines_per_s,
+            "reloads_max": options.message_limit, "messages_over_ms": MESSAGE_WINDOW_MS as f64,
             "overhead": options.message_overhead, "proxies": options.proxies,
             "push_delay_ms": options.mean_transit_ms, "retry_default": 0,
             "worst_transit_ms": options.worst_transit_ms},
--- a/crates/platform-supervisor/tests/deadlines/main.rs
+++ b/crates/platform-supervisor/tests/deadlines/main.rs
@@ -7,6 +7,7 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+mod liveness;
 mod platform;
 mod restarts;
 mod schedules;
--- a/crates/platform-supervisor/tests/deadlines/platform.rs
+++ b/crates/platform-supervisor/tests/deadlines/platform.rs
@@ -10,7 +10,7 @@
 
 use crate::common::{
     ack_line, config_file, delta, hello_line, list_chunk, list_entry, server_name, Cells, ConfigOptions,
-    EMPTY_LINE_CHUNK, MS, WATCH_HEAD,
+    EMPTY_LINE_CHUNK, MESSAGE_WINDOW_MS, MS, WATCH_HEAD,
 };
 
 pub const SECOND: u64 = 1_000 * MS;
@@ -44,6 +44,8 @@
     pub rate_factor: f64,
     /// If this is n, every n-th ack request is never acknowledged; 0 means that all are acknowledged.
     pub lost_acks: usize,
+    /// Maximum number of messages to one proxy within [`MESSAGE_WINDOW_MS`]; 0: no limit.
+    pub message_limit: u32,
 }
 
 impl Default for Scenario {
@@ -59,6 +61,7 @@
             worst_transit: 500 * MS,
             rate_factor: 1.0,
             lost_acks: 0,
+            message_limit: 0,
         }
     }
 }
@@ -79,6 +82,7 @@
             mean_transit_ms: milliseconds(self.mean_transit),
             worst_transit_ms: milliseconds(self.worst_transit),
             drain_grace_ms: milliseconds(self.drain_grace),
+            message_limit: self.message_limit,
             load_info: json!({"columns": [], "how": "off"}),
             permissions: json!({}),
         }
@@ -100,20 +104,28 @@
     /// Whether its machine has vanished: it applies and acknowledges nothing, but its connection stays open.
     has_vanished: bool,
     table: BTreeSet<String>,
+    /// Weights that the supervisor has sent for the servers in the table.
+    weights: BTreeMap<String, f64>,
     excluded: BTreeSet<String>,
+    /// When messages to the proxy were written, within the last [`MESSAGE_WINDOW_MS`].
+    written_at: VecDeque<u64>,
 }
 
 impl Proxy {
     fn apply(&mut self, update: &Value) {
         if update["whole"] == true {
             self.table.clear();
+            self.weights.clear();
         }
         for line in update["lines"].as_array().into_iter().flatten() {
             let server = line[0].as_str().unwrap().to_owned();
-            if line[1].as_f64().unwrap() > 0.0 {
-                self.table.insert(server);
+            let weight = line[1].as_f64().unwrap();
+            if weight > 0.0 {
+                self.table.insert(server.clone());
+                self.weights.insert(server, weight);
             } else {
                 self.table.remove(&server);
+                self.weights.remove(&server);
             }
         }
         let names = |field: &str| {
@@ -126,6 +138,13 @@
         }
     }
 
+    /// Counts a written message. Returns the number within the last [`MESSAGE_WINDOW_MS`], including this one.
+    fn record_message(&mut self, now: u64) -> usize {
+        self.written_at.push_back(now);
+        self.written_at.retain(|at| now - at < MESSAGE_WINDOW_MS * MS);
+        self.written_at.len()
+    }
+
     fn uses(&self, server: &str) -> bool {
         self.table.contains(server) && !self.excluded.contains(server)
     }
@@ -166,8 +185,12 @@
     /// Number of steps, summed over proxies, in which a proxy was without a usable server for longer than
     /// configured.
     pub unserved: usize,
+    /// The first time that a proxy was without a usable server for too long.
+    pub first_unserved: Option<String>,
     /// Maximum number of lines that were queued in the channel.
     pub max_queued_lines: f64,
+    /// Maximum number of messages that were written to one proxy within [`MESSAGE_WINDOW_MS`].
+    pub max_messages: usize,
 }
 
 fn start_supervisor(scenario: &Scenario, clocks: Clocks) -> Supervisor<u32> {
@@ -276,6 +299,8 @@
 
     fn written(&mut self, connection: u32, bytes: &[u8]) {
         let Some(&proxy) = self.proxy_by_connection.get(&connection) else { return };
+        let messages = self.proxies.get_mut(&proxy).unwrap().record_message(self.now);
+        self.measurements.max_messages = self.measurements.max_messages.max(messages);
         let parsed = bytes.split(|byte| *byte == b'\n').filter(|line| !line.is_empty());
         let updates: Vec<Value> = parsed.map(|line| serde_json::from_slice(line).unwrap()).collect();
         let lines = self.scenario.message_overhead + updates.iter().map(channel_lines).sum::<f64>();
@@ -302,7 +327,9 @@
         self.last_connection += 1;
         let (connection, now) = (self.last_connection, self.now);
         let table = table.into_iter().collect();
-        let proxy = Proxy { connection: Some(connection), joined_at: now, table, ..Proxy::default() };
+        let written_at = self.proxies.remove(&id).map(|proxy| proxy.written_at).unwrap_or_default();
+        let proxy =
+            Proxy { connection: Some(connection), joined_at: now, table, written_at, ..Proxy::default() };
         self.proxies.insert(id, proxy);
         self.proxy_by_connection.insert(connection, id);
         self.supervisor.opened(connection, now);
@@ -342,9 +369,10 @@
 
     /// Connects a proxy again, with the tables and exclusions that it has.
     pub fn rejoin(&mut self, id: u32) {
-        let mut proxy = self.proxies.remove(&id).unwrap();
-        self.join(id, std::mem::take(&mut proxy.table), false);
-        self.proxies.get_mut(&id).unwrap().excluded = proxy.excluded;
+        let proxy = self.proxies.get_mut(&id).unwrap();
+        let (table, excluded) = (std::mem::take(&mut proxy.table), std::mem::take(&mut proxy.excluded));
+        self.join(id, table, false);
+        self.proxies.get_mut(&id).unwrap().excluded = excluded;
     }
 
     /// Sends a collector's report on the ready servers, with a response time for each.
@@ -372,6 +400,17 @@
         self.proxies.get_mut(&id).unwrap().has_vanished = true;
     }
 
+    /// Sends an endpoint list in which this server, which is ready, has this weight.
+    pub fn list_weight(&mut self, server: u32, weight: f64) {
+        self.version += 1;
+        let mut changed = self.changed_entries.get(&server).cloned().unwrap();
+        changed["weight"] = weight.into();
+        self.changed_entries.insert(server, changed.clone());
+        let chunk = list_chunk(&delta(self.version, vec![changed]));
+        self.supervisor.received(WATCH, chunk.as_bytes(), self.clocks());
+        self.advance();
+    }
+
     /// Sends an endpoint list in which these servers have this state.
     pub fn list_servers(&mut self, servers: impl IntoIterator<Item = u32>, state: &str) {
         self.version += 1;
@@ -484,7 +523,7 @@
         }
         self.measurements.unserved += 1;
         let seconds = |at: u64| (at - START) as f64 / SECOND as f64;
-        self.measurements.first_violation.get_or_insert(format!(
+        self.measurements.first_unserved.get_or_insert(format!(
             "at {:.2} s proxy {id}, which joined at {:.2} s, has had no usable server since {:.2} s: table {:?}, excluded {:?}",
             seconds(self.now),
             seconds(proxy.joined_at),
@@ -500,6 +539,11 @@
         proxy.table.iter().filter(|server| proxy.uses(server)).count()
     }
 
+    /// Weight that a proxy was sent for a server; 0 if the server is not in its table.
+    pub fn weight(&self, id: u32, server: u32) -> f64 {
+        self.proxies[&id].weights.get(&server_name(server)).copied().unwrap_or_default()
+    }
+
     /// Whether a proxy may use a server.
     pub fn uses(&self, id: u32, server: u32) -> bool {
         self.proxies[&id].uses(&server_name(server))
--- a/crates/platform-supervisor/tests/deadlines/restarts.rs
+++ b/crates/platform-supervisor/tests/deadlines/restarts.rs
@@ -30,6 +30,7 @@
         worst_transit: 382 * MS,
         rate_factor,
         lost_acks: 0,
+        message_limit: 0,
     }
 }
 
--- a/crates/platform-supervisor/tests/supervisor.rs
+++ b/crates/platform-supervisor/tests/supervisor.rs
@@ -36,6 +36,7 @@
         mean_transit_ms: 100.0,
         worst_transit_ms: 300.0,
         drain_grace_ms: 2000.0,
+        message_limit: 0,
         load_info: json!({"columns": ["cpu"], "how": "inline"}),
         permissions: json!({"probes": true}),
     };
--- a/src/channel.rs
+++ b/src/channel.rs
@@ -25,13 +25,17 @@
 use readmissions::Readmissions;
 use sent::SentState;
 use unaccounted_lines::UnaccountedLines;
+use updates::UpdateScope;
 
+mod allowance;
 mod assignment;
 mod batch;
 mod capacity_shares;
 mod changes;
 mod coalescing;
+mod deferrable_updates;
 mod exclusions;
+mod limited_tables;
 mod lone_removals;
 mod obligations;
 mod readmissions;
@@ -73,6 +77,8 @@
     acknowledged_deadlines: AcknowledgedDeadlines,
     unaccounted_lines: UnaccountedLines,
     readmissions: Readmissions,
+    /// Admission limits are added to the next deferrable batch before changes.
+    limits_go_first: bool,
 }
 
 impl Channel {
@@ -168,11 +174,12 @@
             self.assign_tables(AssignmentScope::Urgent, mailboxes);
         }
         let mut changes = self.differing_lines(now);
-        let removals_go_alone = self.removals_go_alone(&changes, now);
+        let removal_deadline = self.first_removal_deadline(&changes, now);
+        let removals_go_alone = self.removals_go_alone(&changes, removal_deadline, now);
         changes.retain(|change| change.is_urgent() && change.audience == Audience::All);
         changes.retain(|change| change.has_deadline() || !removals_go_alone);
         let actions_before = mailboxes.actions.len();
-        let mut all_urgent_sent = self.send_updates(changes, mailboxes);
+        let mut all_urgent_sent = self.send_updates(UpdateScope::Urgent, changes, mailboxes);
         self.assign_tables(AssignmentScope::Urgent, mailboxes);
         if removals_go_alone {
             // Removals that wait themselves must not keep proxies without a table for long.
@@ -188,7 +195,8 @@
             let capacity_share = ASSIGNMENT_CAPACITY_SHARE;
             self.assign_tables(AssignmentScope::All { capacity_share }, mailboxes);
         }
-        all_urgent_sent &= self.send_updates(self.differing_lines(now), mailboxes);
+        let changes = self.differing_lines(now);
+        all_urgent_sent &= self.send_updates(UpdateScope::All, changes, mailboxes);
         // If urgent changes are still waiting, assignments leave more of the capacity to them.
         let capacity_share =
             if all_urgent_sent { ASSIGNMENT_CAPACITY_SHARE } else { DEFERRABLE_CAPACITY_SHARE };
--- a/src/channel/assignment.rs
+++ b/src/channel/assignment.rs
@@ -8,6 +8,7 @@
 use super::Channel;
 use crate::interface::{Action, Nanos, ProxyId, TableId};
 use crate::message::Mailboxes;
+use crate::pacing::MessagePurpose;
 use crate::proxies::Proxy;
 use crate::tables::FULL_TABLE;
 
@@ -91,7 +92,7 @@
         for (&id, proxy) in &self.proxies.by_id {
             let table = proxy.intended_table;
             let is_due = scope != AssignmentScope::Urgent || self.is_urgent_assignment(proxy);
-            let is_limited = self.pacing.message_limit.is_reached(id, 1.0, now);
+            let is_limited = self.may_not_be_assigned(id, now);
             if proxy.assigned_table == Some(table) || !is_due || is_limited {
                 continue;
             }
@@ -108,6 +109,11 @@
         waiting.into_iter().map(|(assignment, _)| assignment).collect()
     }
 
+    /// Whether the limit on messages excludes an assignment at present.
+    fn may_not_be_assigned(&self, id: ProxyId, now: Nanos) -> bool {
+        self.pacing.message_limit.is_reached(id, MessagePurpose::Prompt, now)
+    }
+
     /// Whether a proxy waits for an urgent assignment of a fallback subset. The assignment is urgent if the
     /// proxy has no table from this supervisor and may still use servers that are not ready, or if the proxy
     /// leaves the full table and receives the assignment in place of that table's urgent changes.
--- a/src/channel/batch.rs
+++ b/src/channel/batch.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::allowance::IdleAllowance;
 use super::changes::{Audience, Change};
 use crate::interface::{Nanos, ProxyId, TableId};
 use crate::proxies::{Proxies, Proxy};
@@ -25,11 +26,15 @@
     cost: f64,
     is_full: bool,
     recipients: BTreeSet<Recipients>,
+    /// Tables whose users are sent a message anyway, before this batch at the same time.
+    has_message: BTreeSet<TableId>,
+    /// What an idle channel takes, whatever the maximum cost is.
+    idle: Option<IdleAllowance>,
 }
 
 impl Batch {
-    /// Creates an empty batch.
-    pub(super) fn new(proxies: &Proxies, message_cost: f64) -> Self {
+    /// Creates an empty batch. The users of the tables `has_message` are sent a message anyway.
+    pub(super) fn new(proxies: &Proxies, message_cost: f64, has_message: BTreeSet<TableId>) -> Self {
         Batch {
             users_by_table: proxies.users_by_table(),
             newly_joined: proxies.newly_joined().count() as f64,
@@ -38,9 +43,32 @@
             cost: 0.0,
             is_full: false,
             recipients: BTreeSet::new(),
+            has_message,
+            idle: None,
         }
     }
 
+    /// Sets what an idle channel takes, whatever the maximum cost is.
+    pub(super) fn set_idle_allowance(&mut self, idle: Option<IdleAllowance>) {
+        self.idle = idle;
+    }
+
+    /// Whether a line did not fit.
+    pub(super) fn is_full(&self) -> bool {
+        self.is_full
+    }
+
+    /// Lets lines of another kind, with another maximum cost, be added although some did not fit.
+    pub(super) fn reopen(&mut self) {
+        self.is_full = false;
+    }
+
+    /// Whether all users of a table are sent a message anyway.
+    pub(super) fn sends_message_to(&self, table: TableId) -> bool {
+        self.has_message.contains(&table)
+            || self.recipients.contains(&Recipients { table, audience: Audience::All })
+    }
+
     /// Total cost of the batch.
     pub(super) fn cost(&self) -> f64 {
         self.cost
@@ -91,11 +119,11 @@
             Audience::All => self.users(table),
             Audience::NewlyJoined => self.newly_joined,
         };
-        let has_message = self.recipients.contains(&Recipients { table, audience: Audience::All })
-            || self.recipients.contains(&Recipients { table, audience });
+        let has_message =
+            self.sends_message_to(table) || self.recipients.contains(&Recipients { table, audience });
         let lines_each = if has_message { 1.0 } else { 1.0 + self.message_cost };
         let added_cost = recipient_count * lines_each + additional_lines;
-        self.is_full |= recipient_count > 0.0 && self.cost + added_cost > max_cost;
+        self.is_full |= recipient_count > 0.0 && self.cost + added_cost > self.max_cost(max_cost);
         if !self.is_full {
             self.recipients.insert(Recipients { table, audience });
             self.cost += added_cost;
@@ -103,6 +131,13 @@
         !self.is_full
     }
 
+    /// The maximum cost, or what an idle channel takes if that is more.
+    fn max_cost(&self, max_cost: f64) -> f64 {
+        let Some(idle) = self.idle else { return max_cost };
+        let is_first = self.cost == 0.0;
+        max_cost.max(idle.batch_lines).max(if is_first { idle.first_lines } else { 0.0 })
+    }
+
     /// Whether the batch contains lines of a table.
     pub(super) fn has_lines_of(&self, table: TableId) -> bool {
         self.recipients.iter().any(|recipients| recipients.table == table)
--- a/src/channel/changes.rs
+++ b/src/channel/changes.rs
@@ -117,9 +117,11 @@
         let mut usable: BTreeMap<TableId, UsableServers> = BTreeMap::new();
         for (&line, &sent) in self.sent.weights.iter().filter(|(_, sent)| **sent > 0.0) {
             let desired = self.desired_table_weight(line);
-            let table = usable.entry(line.table).or_default();
-            table.count += usize::from(desired > 0.0);
-            table.weight += sent.min(desired);
+            if desired > 0.0 {
+                let table = usable.entry(line.table).or_default();
+                table.count += 1;
+                table.weight += sent.min(desired);
+            }
         }
         usable
     }
@@ -163,14 +165,15 @@
     }
 
     fn priority(&self, line: TableLine, sent: f64, weight: f64, desired: &DesiredState) -> Priority {
-        let joins_subset = sent == 0.0 && weight > 0.0 && line.table > FULL_TABLE;
+        let joins_table = sent == 0.0 && weight > 0.0 && line.table != EXCLUSIONS;
+        let joins_subset = joins_table && line.table > FULL_TABLE;
         let is_needed = self.lacks_servers(line.table)
             || (self.replenishes_early && self.lacks_weight(line.table) && !desired.unstable);
         let excludes = line.table == EXCLUSIONS && weight > sent;
         let reduces_urgently = desired.unstable && weight < sent;
         if excludes || (reduces_urgently && desired.unready) {
             Priority::Removal
-        } else if joins_subset && is_needed {
+        } else if joins_table && is_needed {
             Priority::Replenishment
         } else if reduces_urgently {
             Priority::Reduction
--- a/src/channel/lone_removals.rs
+++ b/src/channel/lone_removals.rs
@@ -11,9 +11,16 @@
 
 impl Channel {
     /// Whether this flush sends only what has a deadline, since it sends removals that the rest could make
-    /// late. `changes` are all lines
-    /// that differ from what was sent.
-    pub(super) fn removals_go_alone(&self, changes: &[Change], now: Nanos) -> bool {
+    /// late. `changes` are all lines that differ from what was sent, and `deadline` is the earliest one of the
+    /// removals among them.
+    pub(super) fn removals_go_alone(&self, changes: &[Change], deadline: Option<Nanos>, now: Nanos) -> bool {
+        let Some(deadline) = deadline else { return false };
+        let lines = self.lines_of(changes) + self.lines_of_waiting_assignments();
+        self.pacing.cautious_forecast(now).arrival(lines) > deadline
+    }
+
+    /// The earliest deadline of the removals among these changes that are sent to proxies.
+    pub(super) fn first_removal_deadline(&self, changes: &[Change], now: Nanos) -> Option<Nanos> {
         let users_by_table = self.proxies.users_by_table();
         let is_sent = |change: &&Change| {
             change.is_removal()
@@ -21,12 +28,7 @@
                 && users_by_table.contains_key(&change.line.table)
         };
         let removals = changes.iter().filter(is_sent);
-        let Some(deadline) = removals.map(|change| self.removal_deadline(change.line.server, now)).min()
-        else {
-            return false;
-        };
-        let lines = self.lines_of(changes) + self.lines_of_waiting_assignments();
-        self.pacing.cautious_forecast(now).arrival(lines) > deadline
+        removals.map(|change| self.removal_deadline(change.line.server, now)).min()
     }
 
     /// Number of lines of one message with these changes to each user of their tables.
--- a/src/channel/updates/tests.rs
+++ b/src/channel/updates/tests.rs
@@ -1,7 +1,9 @@
 use rstest::rstest;
 
 use super::*;
-use crate::interface::{Action, ControllerConfig, Endpoint, Readiness, ServerId};
+use crate::channel::capacity_shares::ASSIGNMENT_CAPACITY_SHARE;
+use crate::interface::{Action, ControllerConfig, Endpoint, Readiness, RetryPolicy, ServerId};
+use crate::message::{AdmissionLimit, DesiredState, Message, SECOND};
 use crate::testing::{
     config, decide_acknowledged, draining, endpoint, joined, large_deployment, list_changes, listed,
     running_controller, START,
@@ -148,3 +150,71 @@
     }
     assert!(sent >= 200, "{sent}");
 }
+
+/// Deployment of 100 proxies on the full table, where one line to each of them takes 700 lines of the channel.
+fn hundred_users_of_the_full_table(config: &ControllerConfig) -> Channel {
+    let config = ControllerConfig { proxy_count: 100, ..config.clone() };
+    let mut controller = running_controller(&config);
+    for proxy in 0..100 {
+        controller.channel.proxies.join(proxy, 1.0, true, FULL_TABLE, START);
+    }
+    let mut channel = controller.channel;
+    channel.proxies.by_id.values_mut().for_each(|proxy| proxy.assigned_table = Some(FULL_TABLE));
+    channel
+}
+
+/// Flushes the channel once it is idle.
+fn flush_idle(channel: &mut Channel, now: Nanos) -> Vec<Action> {
+    channel.pacing.pending_marks.clear();
+    channel.pacing.queued_lines = 0.0;
+    let mut mailboxes = Mailboxes::at(now);
+    channel.handle(Message::Flush, &mut mailboxes);
+    mailboxes.actions
+}
+
+fn set_weight(channel: &mut Channel, server: ServerId, weight: f64, now: Nanos) {
+    let desired = DesiredState { weight, ..channel.desired_states[&server] };
+    channel.handle(Message::DesiredState(server, desired), &mut Mailboxes::at(now));
+}
+
+fn admits(channel: &mut Channel, limit: f64, now: Nanos) {
+    let retry_policy = RetryPolicy::IfNotExecuted;
+    let limits = (0..2).map(|operation| AdmissionLimit { operation, limit, retry_policy }).collect();
+    channel.handle(Message::AdmissionLimits(limits), &mut Mailboxes::at(now));
+}
+
+fn sends_weight_of(server: ServerId, actions: &[Action]) -> bool {
+    let is_sent = |action: &Action| match action {
+        Action::SetWeight { table: FULL_TABLE, server: sent, .. } => *sent == server,
+        _ => false,
+    };
+    actions.iter().any(is_sent)
+}
+
+/// Guards against admission limits that are never sent, since one to each proxy takes more than their share.
+#[rstest]
+fn idle_channel_sends_admission_limits_to_many_proxies(config: ControllerConfig) {
+    let mut channel = hundred_users_of_the_full_table(&config);
+    admits(&mut channel, 0.5, START);
+    let limits = (1..10).flat_map(|second| flush_idle(&mut channel, START + second * SECOND));
+    let limited: BTreeSet<u16> = limits
+        .filter_map(|action| match action {
+            Action::LimitAdmission { operations, .. } => Some(operations),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(limited, [1, 2].into());
+}
+
+/// Guards against weights that wait as long as admission limits change each second.
+#[rstest]
+fn weights_are_sent_while_admission_limits_keep_changing(config: ControllerConfig) {
+    let mut channel = running_controller(&config).channel;
+    set_weight(&mut channel, 1, 3.0, START);
+    let is_sent = (1..10u32).any(|second| {
+        let now = START + Nanos::from(second) * SECOND;
+        admits(&mut channel, 1.0 / f64::from(1 + second), now);
+        sends_weight_of(1, &flush_idle(&mut channel, now))
+    });
+    assert!(is_sent);
+}
--- a/src/pacing.rs
+++ b/src/pacing.rs
@@ -10,7 +10,7 @@
 
 use learned_rate::{LearnedRate, Observation, MAX_SLOWDOWN};
 pub(crate) use marks::PendingMark;
-use message_limit::MessageLimit;
+pub(crate) use message_limit::{MessageLimit, MessagePurpose};
 
 mod learned_rate;
 mod marks;
@@ -148,6 +148,12 @@
         mailboxes.actions.push(Action::RequestAck { serial: self.last_serial, everyone: false });
     }
 
+    /// Proxies that were written a message at `now`; what else they are sent at that time rides in it.
+    pub(crate) fn recipients_at(&self, now: Nanos) -> Option<&BTreeSet<ProxyId>> {
+        let mark = self.pending_marks.get(&self.last_serial.into());
+        mark.filter(|mark| mark.sent_at == now).map(|mark| &mark.awaiting)
+    }
+
     /// Corrects the account of the messages with a mark by the number of lines that they really have.
     pub(crate) fn correct_lines(&mut self, serial: u64, lines: f64) {
         let lines_per_ns = self.learned_lines_per_ns();
--- a/src/pacing/message_limit.rs
+++ b/src/pacing/message_limit.rs
@@ -5,6 +5,19 @@
 
 use crate::interface::{Nanos, ProxyId};
 
+/// Share of the currently allowed messages that deferrable changes may use; the rest is reserved for urgent
+/// ones.
+const DEFERRABLE_MESSAGE_SHARE: f64 = 0.3;
+
+/// What a message is for, which determines how much of the limit it may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum MessagePurpose {
+    /// An assignment, or changes that are sent at once.
+    Prompt,
+    /// Changes that can be put off.
+    Deferrable,
+}
+
 /// Messages written to each proxy recently, and their limit. Half of the limit may be written at once, the
 /// other half over the window.
 #[derive(Clone, Debug, Default)]
@@ -50,9 +63,12 @@
         }
     }
 
-    /// Whether another message to the proxy would exceed the given share of what may be written at once; a
-    /// single message is always allowed.
-    pub(crate) fn is_reached(&self, proxy: ProxyId, share: f64, now: Nanos) -> bool {
+    /// Whether another message to the proxy, for this purpose, must wait; a single message is always allowed.
+    pub(crate) fn is_reached(&self, proxy: ProxyId, purpose: MessagePurpose, now: Nanos) -> bool {
+        let share = match purpose {
+            MessagePurpose::Prompt => 1.0,
+            MessagePurpose::Deferrable => DEFERRABLE_MESSAGE_SHARE,
+        };
         self.recent_messages(proxy, now) + 1.0 > (self.half_limit * share).max(1.0)
     }
 
