Add waiting changes to messages that are sent anyway

Cause: a deferrable change needed a message of its own, allowed only below 0.15 of the limit; steady removals kept the count above, and went out without the additions that waited.

The new test failed before.

Change: what waits is added to the messages of a flush, up to as many lines as these have and as leave their removals in time at 0.4 of the learned rate, also where removals go alone.

--- a/crates/platform-supervisor/tests/deadlines/liveness.rs
+++ b/crates/platform-supervisor/tests/deadlines/liveness.rs
@@ -164,3 +164,22 @@
     let result = Replacement { scenario, pause: 1_333 * MS, fits_full_tables: true }.run(1);
     assert_eq!(result, Ok(()));
 }
+
+/// Guards against a limit on messages that lets only removals out while servers are replaced.
+#[test]
+fn liveness_servers_are_replaced_where_messages_are_limited() {
+    let scenario = Scenario {
+        servers: 18,
+        proxies: 12,
+        lines_per_s: 2_900.0,
+        channel_capacity: 4_400.0,
+        message_overhead: 10.0,
+        drain_grace: 2_200 * MS,
+        mean_transit: 164 * MS,
+        worst_transit: 410 * MS,
+        message_limit: 10,
+        ..Scenario::default()
+    };
+    let result = Replacement { scenario, pause: 1_500 * MS, fits_full_tables: true }.run(1);
+    assert_eq!(result, Ok(()));
+}
--- a/src/channel.rs
+++ b/src/channel.rs
@@ -179,7 +179,8 @@
         changes.retain(|change| change.is_urgent() && change.audience == Audience::All);
         changes.retain(|change| change.has_deadline() || !removals_go_alone);
         let actions_before = mailboxes.actions.len();
-        let mut all_urgent_sent = self.send_updates(UpdateScope::Urgent, changes, mailboxes);
+        let mut all_urgent_sent =
+            self.send_updates(UpdateScope::Urgent, changes, removal_deadline, mailboxes);
         self.assign_tables(AssignmentScope::Urgent, mailboxes);
         if removals_go_alone {
             // Removals that wait themselves must not keep proxies without a table for long.
@@ -187,6 +188,9 @@
                 let capacity_share = DEFERRABLE_CAPACITY_SHARE;
                 self.assign_tables(AssignmentScope::All { capacity_share }, mailboxes);
             }
+            let mut changes = self.differing_lines(now);
+            changes.retain(|change| !change.is_urgent());
+            self.send_updates(UpdateScope::Added, changes, removal_deadline, mailboxes);
             return self.log_deadlines(mailboxes);
         }
         // Assignments are sent before deferrable changes while their quota from the last batch is not used
@@ -196,7 +200,7 @@
             self.assign_tables(AssignmentScope::All { capacity_share }, mailboxes);
         }
         let changes = self.differing_lines(now);
-        all_urgent_sent &= self.send_updates(UpdateScope::All, changes, mailboxes);
+        all_urgent_sent &= self.send_updates(UpdateScope::All, changes, removal_deadline, mailboxes);
         // If urgent changes are still waiting, assignments leave more of the capacity to them.
         let capacity_share =
             if all_urgent_sent { ASSIGNMENT_CAPACITY_SHARE } else { DEFERRABLE_CAPACITY_SHARE };
--- a/src/channel/allowance.rs
+++ b/src/channel/allowance.rs
@@ -1,7 +1,8 @@
 //! What the channel takes in one flush: bounds on the lines of each kind of traffic.
 //!
 //! The bounds keep capacity free for urgent changes. None of them may exclude the smallest change for good: an
-//! idle channel takes at least one line to each user of a table.
+//! idle channel takes at least one line to each user of a table, and what waits may be added to messages that
+//! are sent anyway.
 
 use super::batch::Batch;
 use super::capacity_shares::{deferrable_share, urgent_share, ASSIGNMENT_CAPACITY_SHARE};
@@ -20,6 +21,10 @@
 /// changes.
 const NEXT_REMOVAL_GRACE_SHARE: f64 = 0.75;
 
+/// Share of the drain grace period by which removals still arrive before their deadline when other lines are
+/// added to their messages.
+const ADDED_LINES_MARGIN_GRACE_SHARE: f64 = 0.25;
+
 /// What the channel takes in this flush; amounts are in lines.
 pub(super) struct Allowance {
     /// Deferrable changes may be sent in messages of their own.
@@ -32,6 +37,8 @@
     pub(super) reduction_lines: f64,
     pub(super) admission_limit_lines: f64,
     pub(super) deferrable_lines: f64,
+    /// Deferrable lines that may be added to messages that are sent anyway.
+    pub(super) added_lines: f64,
     /// `None` unless the channel is idle.
     pub(super) idle: Option<IdleAllowance>,
 }
@@ -46,8 +53,14 @@
 }
 
 impl Channel {
-    /// Computes what the channel takes in this flush.
-    pub(super) fn allowance(&mut self, batch: &Batch, now: Nanos) -> Allowance {
+    /// Computes what the channel takes in this flush. `removal_deadline` is the earliest one of the removals
+    /// that this flush sends.
+    pub(super) fn allowance(
+        &mut self,
+        batch: &Batch,
+        removal_deadline: Option<Nanos>,
+        now: Nanos,
+    ) -> Allowance {
         let overhead = self.message_cost() * self.proxies.by_id.len() as f64;
         let interval = self.batch_interval(overhead);
         let queued = self.pacing.update_queue(now);
@@ -70,6 +83,7 @@
             reduction_lines: lines(self.reduction_capacity_share(overhead)),
             admission_limit_lines,
             deferrable_lines: lines(self.deferrable_capacity_share(overhead, now)),
+            added_lines: self.added_lines(removal_deadline, now).min(urgent_lines),
             idle: (queued == 0.0).then(|| self.idle_allowance(overhead)),
         }
     }
@@ -108,4 +122,18 @@
         let batch_lines = (WORTHWHILE_OVERHEADS * overhead_lines).min(deliverable - next_removal);
         IdleAllowance { batch_lines, first_lines: self.pacing.capacity_lines }
     }
+
+    /// Deferrable lines that may be added to the messages of this flush: no more than these messages have, and
+    /// as many as leave its removals in time even if the channel has slowed down. Where it has no removals, or
+    /// these are late whatever is added, what is added takes no more than half of the grace.
+    fn added_lines(&self, removal_deadline: Option<Nanos>, now: Nanos) -> f64 {
+        let forecast = self.pacing.cautious_forecast(now);
+        let arrival = forecast.arrival(0.0);
+        let margin = (ADDED_LINES_MARGIN_GRACE_SHARE * self.drain_grace as f64) as Nanos;
+        let spare_time = match removal_deadline {
+            Some(deadline) if arrival < deadline => (deadline - arrival).saturating_sub(margin),
+            _ => self.drain_grace / 2,
+        };
+        self.pacing.lines_sent_at(now).min(spare_time as f64 * forecast.lines_per_ns)
+    }
 }
--- a/src/channel/deferrable_updates.rs
+++ b/src/channel/deferrable_updates.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Adds the update to a message that is sent anyway, if there is one with room for it.
+    pub(super) fn try_add(&self, allowance: &Allowance, batch: &mut Batch) -> bool {
+        batch.sends_message_to(self.table()) && self.try_add_lines(allowance.added_lines, batch)
+    }
+
     /// Adds the update, in a message of its own if there is no other.
     pub(super) fn try_send(&self, allowance: &Allowance, limited: &LimitedTables, batch: &mut Batch) -> bool {
         let max_cost = match self {
--- a/src/channel/updates.rs
+++ b/src/channel/updates.rs
@@ -34,17 +34,21 @@
 pub(super) enum UpdateScope {
     /// Urgent changes.
     Urgent,
+    /// Deferrable changes that can be added to messages that are sent anyway.
+    Added,
     /// All changes, and admission limits.
     All,
 }
 
 impl Channel {
     /// Sends as many of the changes, and of the differing admission limits, as the channel takes.
-    /// Returns whether all urgent changes were sent.
+    /// `removal_deadline` is the earliest one of the removals that this flush sends. Returns whether all
+    /// urgent changes were sent.
     pub(super) fn send_updates(
         &mut self,
         scope: UpdateScope,
         mut changes: Vec<Change>,
+        removal_deadline: Option<Nanos>,
         mailboxes: &mut Mailboxes,
     ) -> bool {
         let now = mailboxes.now;
@@ -52,7 +56,7 @@
         changes.retain(|change| !(is_leaving_full_table && change.line.table == FULL_TABLE));
         let urgent = changes.iter().filter(|change| change.is_urgent()).count();
         let mut batch = Batch::new(&self.proxies, self.message_cost(), self.tables_with_message(now));
-        let mut allowance = self.allowance(&batch, now);
+        let mut allowance = self.allowance(&batch, removal_deadline, now);
         allowance.takes_deferrable &= scope == UpdateScope::All;
         if urgent == 0 && scope == UpdateScope::Urgent {
             return true;
@@ -82,7 +86,8 @@
         all_urgent_sent
     }
 
-    /// Returns the deferrable changes and admission limits that fit into the batch.
+    /// Returns the deferrable changes and admission limits that fit into the batch: first those that can be
+    /// added to messages that are sent anyway, then those that take messages of their own.
     fn take_fitting_deferrable(
         &mut self,
         changes: Vec<Change>,
@@ -98,6 +103,9 @@
         let limits = self.sent.differing_limits(tables, &self.admission_limits);
         let mut waiting = DeferrableUpdates { changes, limits };
         let limits_go_first = self.limits_go_first;
+        waiting.take_fitting(&mut sent, limits_go_first, batch, |update, batch| {
+            update.try_add(allowance, batch)
+        });
         if allowance.takes_deferrable {
             waiting.take_fitting(&mut sent, limits_go_first, batch, |update, batch| {
                 update.try_send(allowance, limited, batch)
--- a/src/pacing.rs
+++ b/src/pacing.rs
@@ -154,6 +154,12 @@
         mark.filter(|mark| mark.sent_at == now).map(|mark| &mark.awaiting)
     }
 
+    /// Number of lines of the messages that were written at `now`.
+    pub(crate) fn lines_sent_at(&self, now: Nanos) -> f64 {
+        let mark = self.pending_marks.get(&self.last_serial.into());
+        mark.filter(|mark| mark.sent_at == now).map_or(0.0, |mark| mark.lines)
+    }
+
     /// Corrects the account of the messages with a mark by the number of lines that they really have.
     pub(crate) fn correct_lines(&mut self, serial: u64, lines: f64) {
         let lines_per_ns = self.learned_lines_per_ns();
