Keep the limit on messages by the times at which they were written

Cause: the limit was a count that falls by half of the limit in the span, so that after three messages the next one came 3.3 s later.

Change: times within the span are kept, plus the longest transit. Half of the limit is for what is sent at once; beyond it removals wait until they would be late otherwise and share a message, and may use all. Deferrable changes take messages at intervals up to half, and all but one after waiting for a span.

--- a/src/channel.rs
+++ b/src/channel.rs
@@ -22,6 +22,7 @@
 use capacity_shares::{ASSIGNMENT_CAPACITY_SHARE, DEFERRABLE_CAPACITY_SHARE};
 use changes::Audience;
 pub(crate) use changes::MIN_WEIGHT_CHANGE;
+use limited_tables::HeldBackTables;
 use readmissions::Readmissions;
 use sent::SentState;
 use unaccounted_lines::UnaccountedLines;
@@ -77,6 +78,7 @@
     acknowledged_deadlines: AcknowledgedDeadlines,
     unaccounted_lines: UnaccountedLines,
     readmissions: Readmissions,
+    held_back: HeldBackTables,
     /// Admission limits are added to the next deferrable batch before changes.
     limits_go_first: bool,
 }
--- a/src/channel/changes.rs
+++ b/src/channel/changes.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Whether the users of a table were sent a server that is still desired.
+    pub(super) fn has_usable_server(&self, table: TableId) -> bool {
+        self.usable_servers().contains_key(&table)
+    }
+
     fn usable_servers(&self) -> BTreeMap<TableId, UsableServers> {
         let mut usable: BTreeMap<TableId, UsableServers> = BTreeMap::new();
         for (&line, &sent) in self.sent.weights.iter().filter(|(_, sent)| **sent > 0.0) {
--- a/src/channel/coalescing.rs
+++ b/src/channel/coalescing.rs
@@ -14,11 +14,15 @@
 impl Channel {
     /// Whether the urgent changes may wait: all of them would still arrive well before their deadlines.
     pub(super) fn may_coalesce(&self, changes: &[Change], batch: &Batch, now: Nanos) -> bool {
-        let urgent = || changes.iter().filter(|change| change.is_urgent());
+        let mut urgent = changes.iter().filter(|change| change.is_urgent());
         // A table that lacks servers is given more without delay.
-        if urgent().any(|change| change.weight > 0.0) {
-            return false;
-        }
+        urgent.all(|change| change.weight <= 0.0) && self.may_wait(changes, batch, now)
+    }
+
+    /// Whether there are urgent changes, and all of them would still arrive well before their deadlines if
+    /// they were sent later.
+    pub(super) fn may_wait(&self, changes: &[Change], batch: &Batch, now: Nanos) -> bool {
+        let urgent = || changes.iter().filter(|change| change.is_urgent());
         let lines: f64 = urgent().map(|change| batch.users(change.line.table)).sum();
         let tables: BTreeSet<TableId> = urgent().map(|change| change.line.table).collect();
         let overhead: f64 = tables.iter().map(|&table| batch.users(table) * self.message_cost()).sum();
--- a/src/channel/deferrable_updates.rs
+++ b/src/channel/deferrable_updates.rs
@@ -25,6 +25,12 @@
         self.changes.is_empty() && self.limits.is_empty()
     }
 
+    /// The tables that are updated; a table may occur several times.
+    pub(super) fn tables(&self) -> impl Iterator<Item = TableId> + '_ {
+        let of_limits = self.limits.iter().map(|limit| limit.table);
+        self.changes.iter().map(|change| change.line.table).chain(of_limits)
+    }
+
     /// Moves the updates that `fits` adds to the batch to `taken`. Where one kind does not fit, the other may
     /// still.
     pub(super) fn take_fitting(
--- a/src/channel/limited_tables.rs
+++ b/src/channel/limited_tables.rs
@@ -1,7 +1,11 @@
-//! Tables whose updates wait since a user of the table has been written too many messages.
+//! Tables whose updates wait since a user of the table has been written too many messages. Urgent changes
+//! wait until half of the limit is free, or until they would be late otherwise. Deferrable changes wait for
+//! longer, but no longer than the limit's window unless nothing but the last message is left.
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::batch::Batch;
+use super::changes::{Change, Priority};
 use super::Channel;
 use crate::interface::{Nanos, ProxyId, TableId};
 use crate::pacing::MessagePurpose;
@@ -27,19 +31,35 @@
     }
 }
 
+/// Since when deferrable changes of each table wait because of the limit.
+#[derive(Debug, Default)]
+pub(super) struct HeldBackTables {
+    since: BTreeMap<TableId, Nanos>,
+}
+
+impl HeldBackTables {
+    /// Forgets a table whose deferrable changes were sent.
+    pub(super) fn sent(&mut self, table: TableId) {
+        self.since.remove(&table);
+    }
+}
+
 impl Channel {
-    /// Determines the tables whose users may not be written another message at present.
-    pub(super) fn limited_tables(&self, now: Nanos) -> LimitedTables {
+    /// Determines the tables whose users may not be written another message at present. `changes` are those
+    /// that this flush would send.
+    pub(super) fn limited_tables(&mut self, changes: &[Change], batch: &Batch, now: Nanos) -> LimitedTables {
         let mut limited = LimitedTables::default();
         if !self.pacing.message_limit.exists() {
             return limited;
         }
         for (table, users) in self.users_without_message(now) {
-            if self.is_reached(&users, MessagePurpose::Prompt, now) {
+            if self.must_urgent_changes_wait(table, &users, changes, batch, now) {
                 limited.for_urgent_changes.insert(table);
             }
-            if self.is_reached(&users, MessagePurpose::Deferrable, now) {
+            if self.must_deferrable_changes_wait(table, &users, now) {
                 limited.for_deferrable_changes.insert(table);
+            } else {
+                self.held_back.since.remove(&table);
             }
         }
         limited
@@ -60,6 +80,38 @@
         users.iter().any(|&id| self.pacing.message_limit.is_reached(id, purpose, now))
     }
 
+    fn must_urgent_changes_wait(
+        &self,
+        table: TableId,
+        users: &[ProxyId],
+        changes: &[Change],
+        batch: &Batch,
+        now: Nanos,
+    ) -> bool {
+        if !self.is_reached(users, MessagePurpose::Prompt, now) {
+            return false;
+        }
+        let of_table = |change: &&Change| change.line.table == table && change.is_urgent();
+        let urgent: Vec<Change> = changes.iter().filter(of_table).copied().collect();
+        let is_due = self.lacks_any_server(table, &urgent) || !self.may_wait(&urgent, batch, now);
+        !is_due || self.is_reached(users, MessagePurpose::Due, now)
+    }
+
+    /// Whether a table has no usable server and these changes would give it one.
+    fn lacks_any_server(&self, table: TableId, changes: &[Change]) -> bool {
+        let replenishes = changes.iter().any(|change| change.priority == Priority::Replenishment);
+        replenishes && !self.has_usable_server(table)
+    }
+
+    fn must_deferrable_changes_wait(&mut self, table: TableId, users: &[ProxyId], now: Nanos) -> bool {
+        if !self.is_reached(users, MessagePurpose::Deferrable, now) {
+            return false;
+        }
+        let since = *self.held_back.since.entry(table).or_insert(now);
+        let is_overdue = now.saturating_sub(since) >= self.pacing.message_limit.window();
+        !is_overdue || self.is_reached(users, MessagePurpose::Overdue, now)
+    }
+
     /// Tables all of whose users have been sent a message by this flush already.
     pub(super) fn tables_with_message(&self, now: Nanos) -> BTreeSet<TableId> {
         let Some(recipients) = self.pacing.recipients_at(now) else { return BTreeSet::new() };
--- a/src/channel/updates.rs
+++ b/src/channel/updates.rs
@@ -62,7 +62,7 @@
             return true;
         }
         batch.set_idle_allowance(allowance.idle);
-        let limited = self.limited_tables(now);
+        let limited = self.limited_tables(&changes, &batch, now);
         let (mut urgent_changes, deferrable): (Vec<Change>, Vec<Change>) =
             changes.into_iter().partition(Change::is_urgent);
         urgent_changes.retain(|change| !limited.holds_back_urgent(change.line.table));
@@ -131,6 +131,7 @@
         let changes: Vec<Change> = urgent.iter().chain(&deferrable.changes).copied().collect();
         let deadlines = self.removal_deadlines(&changes);
         self.record_deadlines(&deadlines, batch, now);
+        deferrable.tables().for_each(|table| self.held_back.sent(table));
         self.send_changes(&changes, &deferrable.limits, mailboxes);
         self.record_readmissions(&changes, now);
         self.record_batch(batch, mailboxes);
--- a/src/pacing.rs
+++ b/src/pacing.rs
@@ -61,7 +61,11 @@
             message_overhead: config.message_overhead,
             mean_transit: config.mean_transit,
             worst_transit: config.worst_transit,
-            message_limit: MessageLimit::new(config.message_limit, config.message_limit_window),
+            message_limit: MessageLimit::new(
+                config.message_limit,
+                config.message_limit_window,
+                config.worst_transit,
+            ),
             ..Pacing::default()
         };
         let by_transit = QUEUE_TARGET_TRANSITS * config.worst_transit as f64 * pacing.configured_lines_per_ns;
