Hold exclusions back while the message limit holds back a table's urgent changes

Proxies were written two to four messages where one or two are allowed: an exclusion also reaches proxies whose table still has the server, and urgent changes that the limit holds back had been taken off the list before that was checked.

Evidence: the liveness property (a trace of the second message shows the exclusion); the new test failed before.

--- a/src/channel/updates.rs
+++ b/src/channel/updates.rs
@@ -65,8 +65,8 @@
         let limited = self.limited_tables(&changes, &batch, now);
         let (mut urgent_changes, deferrable): (Vec<Change>, Vec<Change>) =
             changes.into_iter().partition(Change::is_urgent);
+        let tables = self.tables_to_update(&urgent_changes, &limited, &batch, &allowance);
         urgent_changes.retain(|change| !limited.holds_back_urgent(change.line.table));
-        let tables = self.tables_to_update(&urgent_changes, &batch, &allowance);
         if allowance.queue_is_long && self.may_coalesce(&urgent_changes, &batch, now) {
             return false;
         }
@@ -143,6 +143,7 @@
     fn tables_to_update(
         &self,
         changes: &[Change],
+        limited: &LimitedTables,
         batch: &Batch,
         allowance: &Allowance,
     ) -> BTreeSet<TableId> {
@@ -156,10 +157,13 @@
             let users = batch.users(table);
             allowance.urgent_lines >= users * (cost + cost.min(lines)) || idle_lines >= users * (cost + 1.0)
         };
-        let worth_updating = urgent_lines.iter().filter(|&entry| is_worth_updating(entry));
-        let mut tables: BTreeSet<TableId> = worth_updating.map(|(&table, _)| table).collect();
+        let may_update = |&entry: &(&TableId, &f64)| !limited.holds_back_urgent(*entry.0);
+        let updatable = urgent_lines.iter().filter(may_update);
+        let mut tables: BTreeSet<TableId> =
+            updatable.filter(|&entry| is_worth_updating(entry)).map(|(&table, _)| table).collect();
         let full_table_waits = urgent_lines.contains_key(&FULL_TABLE) && !tables.contains(&FULL_TABLE);
-        if self.is_leaving_full_table() || full_table_waits {
+        let limited_table_waits = urgent_lines.keys().any(|&table| limited.holds_back_urgent(table));
+        if self.is_leaving_full_table() || full_table_waits || limited_table_waits {
             // An exclusion also reaches users of a table that still contains the server. Exclusions therefore
             // wait until these users have received the full table's urgent changes or another table.
             tables.remove(&EXCLUSIONS);
--- a/src/channel/updates/tests.rs
+++ b/src/channel/updates/tests.rs
@@ -218,3 +218,18 @@
     });
     assert!(is_sent);
 }
+
+/// Guards against exclusions that reach proxies beyond their limit on messages: proxies whose table still has
+/// the server receive them too.
+#[rstest]
+fn exclusions_wait_for_tables_that_the_message_limit_holds_back(mut config: ControllerConfig) {
+    config.message_limit = 1;
+    let mut controller = running_controller(&config);
+    let now = START + 2 * SECOND;
+    controller.channel.proxies.join(2, 1.0, false, FULL_TABLE, START);
+    controller.channel.pacing.pending_marks.clear();
+    // The queue leaves room for urgent changes, and none for assignments.
+    (controller.channel.pacing.queued_lines, controller.channel.pacing.updated_at) = (400.0, now);
+    let actions = controller.decide(now, list_changes([draining(1)]));
+    assert!(!actions.iter().any(|action| matches!(action, Action::Exclude { .. })), "{actions:?}");
+}
