Send deferrable changes that have waited for long before larger ones

Where a batch holds one line to each proxy, the largest change went first each time, and a smaller one never.

--- a/src/channel.rs
+++ b/src/channel.rs
@@ -27,6 +27,7 @@
 use sent::SentState;
 use unaccounted_lines::UnaccountedLines;
 use updates::UpdateScope;
+use waiting_times::WaitingTimes;
 
 mod allowance;
 mod assignment;
@@ -47,6 +48,7 @@
 mod unaccounted_lines;
 mod unused_tables;
 mod updates;
+mod waiting_times;
 
 /// Minimum time between two log lines about missed deadlines.
 const LOG_INTERVAL: Nanos = SECOND;
@@ -79,6 +81,7 @@
     unaccounted_lines: UnaccountedLines,
     readmissions: Readmissions,
     held_back: HeldBackTables,
+    waiting_times: WaitingTimes,
     /// Admission limits are added to the next deferrable batch before changes.
     limits_go_first: bool,
 }
@@ -176,6 +179,7 @@
             self.assign_tables(AssignmentScope::Urgent, mailboxes);
         }
         let mut changes = self.differing_lines(now);
+        self.waiting_times.update(&changes, now);
         let removal_deadline = self.first_removal_deadline(&changes, now);
         let removals_go_alone = self.removals_go_alone(&changes, removal_deadline, now);
         changes.retain(|change| change.is_urgent() && change.audience == Audience::All);
--- a/src/channel/changes.rs
+++ b/src/channel/changes.rs
@@ -88,7 +88,7 @@
 
 impl Channel {
     /// Returns the lines that differ enough from what was sent, ordered by priority, then by the change of
-    /// weight.
+    /// weight. Deferrable changes that have waited for long come before others, whatever their priority.
     pub(super) fn differing_lines(&self, now: Nanos) -> Vec<Change> {
         let comparison = Comparison {
             channel: self,
@@ -98,10 +98,22 @@
         };
         let lines = comparison.lines().into_iter();
         let mut changes: Vec<Change> = lines.filter_map(|line| comparison.change(line)).collect();
-        changes.sort_by(|a, b| a.priority.cmp(&b.priority).then(b.sort_key.total_cmp(&a.sort_key)));
+        changes.sort_by(|a, b| {
+            let by_waiting_time = self.order_of_waiting(a, now).cmp(&self.order_of_waiting(b, now));
+            by_waiting_time.then(a.priority.cmp(&b.priority)).then(b.sort_key.total_cmp(&a.sort_key))
+        });
         changes
     }
 
+    /// Urgent changes come first, then those that have waited for long.
+    fn order_of_waiting(&self, change: &Change, now: Nanos) -> Nanos {
+        if change.is_urgent() {
+            0
+        } else {
+            self.waiting_times.overdue_since(change.line, now)
+        }
+    }
+
     /// The weight that a server should have in a table; in [`EXCLUSIONS`], 1 excludes the server.
     fn desired_table_weight(&self, line: TableLine) -> f64 {
         let desired = self.desired_states.get(&line.server).copied().unwrap_or_default();
--- a/src/channel/updates/tests.rs
+++ b/src/channel/updates/tests.rs
@@ -219,6 +219,21 @@
     assert!(is_sent);
 }
 
+/// Guards against a weight that is never sent, since others change by more each time that one can be sent.
+#[rstest]
+fn small_change_is_sent_although_larger_ones_keep_coming(config: ControllerConfig) {
+    let mut channel = hundred_users_of_the_full_table(&config);
+    set_weight(&mut channel, 1, 1.5, START);
+    let is_sent = (1..40u32).any(|second| {
+        let now = START + Nanos::from(second) * SECOND;
+        for server in 2..5 {
+            set_weight(&mut channel, server, if second % 4 < 2 { 1.0 } else { 9.0 }, now);
+        }
+        sends_weight_of(1, &flush_idle(&mut channel, now))
+    });
+    assert!(is_sent);
+}
+
 /// Guards against exclusions that reach proxies beyond their limit on messages: proxies whose table still has
 /// the server receive them too.
 #[rstest]
