Wait only for proxies that can be assigned a table before sending ordinary changes

One proxy that joins again and again and has used up its messages, or whose table has no servers, kept weights and additions from all others: ordinary changes wait while some proxy has no table.

Likewise a proxy that waits to leave the full table for a subset without servers kept all updates of the full table back.

Evidence: the new test failed before.

--- a/src/channel/allowance.rs
+++ b/src/channel/allowance.rs
@@ -31,7 +31,7 @@
     pub(super) takes_deferrable: bool,
     /// The queue is too long to add deferrable changes.
     pub(super) queue_is_long: bool,
-    /// Unassigned proxies wait for tables.
+    /// Unassigned proxies wait for tables that they can be sent.
     pub(super) assignments_wait: bool,
     pub(super) urgent_lines: f64,
     pub(super) reduction_lines: f64,
@@ -72,7 +72,7 @@
         // Changes that would only wait in the queue wait here and are coalesced: they arrive no later, in
         // fewer messages.
         let queue_is_long = queued > self.pacing.queue_target() && !self.pacing.is_probe_due(now);
-        let assignments_wait = batch.has_unassigned_proxies();
+        let assignments_wait = batch.has_unassigned_proxies() && self.has_assignable_proxy(now);
         let assignments_go_first =
             assignments_wait && self.assignment_quota > 0.0 && admission_limit_lines > 0.0;
         Allowance {
--- a/src/channel/assignment.rs
+++ b/src/channel/assignment.rs
@@ -114,6 +114,17 @@
         self.pacing.message_limit.is_reached(id, MessagePurpose::Prompt, now)
     }
 
+    /// Whether an unassigned proxy waits for a table that it could be sent: the table has servers, and the
+    /// limit on messages leaves room.
+    pub(super) fn has_assignable_proxy(&self, now: Nanos) -> bool {
+        let sizes = self.table_sizes();
+        self.proxies.by_id.iter().any(|(&id, proxy)| {
+            proxy.assigned_table.is_none()
+                && sizes.contains_key(&proxy.intended_table)
+                && !self.may_not_be_assigned(id, now)
+        })
+    }
+
     /// Whether a proxy waits for an urgent assignment of a fallback subset. The assignment is urgent if the
     /// proxy has no table from this supervisor and may still use servers that are not ready, or if the proxy
     /// leaves the full table and receives the assignment in place of that table's urgent changes.
--- a/src/channel/sent.rs
+++ b/src/channel/sent.rs
@@ -108,6 +108,11 @@
         exclusions.for_each(|(_, weight)| *weight /= 2.0);
     }
 
+    /// Whether a table contains servers.
+    pub(super) fn has_lines(&self, table: TableId) -> bool {
+        self.lines_in_use().any(|line| line.table == table)
+    }
+
     /// Whether any table contains a server.
     pub(super) fn is_in_a_table(&self, server: ServerId) -> bool {
         self.lines_in_use().any(|line| line.server == server && line.table != EXCLUSIONS)
--- a/src/channel/table_choice.rs
+++ b/src/channel/table_choice.rs
@@ -146,8 +146,11 @@
     /// Whether users of the full table are moving to fallback subsets; they receive an assignment instead of
     /// the full table's changes.
     pub(super) fn is_leaving_full_table(&self) -> bool {
-        let is_leaving =
-            |proxy: &Proxy| proxy.assigned_table == Some(FULL_TABLE) && proxy.intended_table != FULL_TABLE;
+        let is_leaving = |proxy: &Proxy| {
+            proxy.assigned_table == Some(FULL_TABLE)
+                && proxy.intended_table != FULL_TABLE
+                && self.sent.has_lines(proxy.intended_table)
+        };
         !self.isolated && self.proxies.by_id.values().any(is_leaving)
     }
 }
--- a/src/channel/updates/tests.rs
+++ b/src/channel/updates/tests.rs
@@ -234,6 +234,28 @@
     assert!(is_sent);
 }
 
+/// Guards against a proxy that joins again and again and keeps changes from all others: it has used up its
+/// messages, so that it cannot be assigned a table.
+#[rstest]
+fn changes_are_sent_while_a_proxy_cannot_be_assigned_a_table(config: ControllerConfig) {
+    let config = ControllerConfig { message_limit: 4, ..config };
+    let mut controller = running_controller(&config);
+    for tenth in 1..6 {
+        decide_acknowledged(&mut controller, START + tenth * SECOND / 10, vec![joined(2)]);
+    }
+    assert_eq!(controller.channel.proxies.by_id[&2].assigned_table, None);
+    let changed = Endpoint { weight: 3.0, ..endpoint(1) };
+    let mut events = list_changes([changed]);
+    let is_sent = (4..40).any(|quarter| {
+        let mut batch = std::mem::take(&mut events);
+        if quarter % 4 == 0 {
+            batch.push(joined(2));
+        }
+        sends_weight_of(1, &decide_acknowledged(&mut controller, START + quarter * SECOND / 4, batch))
+    });
+    assert!(is_sent);
+}
+
 /// Guards against exclusions that reach proxies beyond their limit on messages: proxies whose table still has
 /// the server receive them too.
 #[rstest]
