Use fallback subsets where the channel cannot hold a full table or a line to each user

An idle channel takes one assignment whatever its size: 31 lines were queued where 22 fit. Where a line to each user of the full table does not fit, no update of it can go.

Change: max_full_table_users respects the capacity.

--- a/crates/platform-supervisor/tests/deadlines/liveness.rs
+++ b/crates/platform-supervisor/tests/deadlines/liveness.rs
@@ -1,18 +1,25 @@
 //! Tests, on the simulated platform, that whatever differs from what proxies hold is sent in bounded time, at any
 //! setting of the channel: servers are replaced one after another, then nothing changes. In the end each proxy
 //! may use exactly the ready servers, at the weights listed.
+//!
+//! Runs eight seeds by default; more with `SHALEREEL_SEEDS=200 cargo test --release -p
+//! shalereel-platform-supervisor --test deadlines liveness`.
 
 use std::fmt::Write;
 
 use crate::common::{server_name, MESSAGE_WINDOW_MS, MS};
 use crate::platform::{Platform, Scenario, SECOND, STEP};
+use oorandom::Rand64;
 
+const DEFAULT_SEEDS: u64 = 8;
 /// Time from which a started server is warm, as configured.
 const SLOW_START: u64 = 9 * SECOND;
 /// Listed weight of the server whose weight changes at the end; all others have 1.
 const CHANGED_WEIGHT: f64 = 4.0;
 /// Number of messages within [`MESSAGE_WINDOW_MS`] with which one can go out every two seconds twice over.
 const MESSAGES_FOR_DRAINS: u32 = 10;
+/// Lines of a message with a fallback subset, without the overhead.
+const FALLBACK_LINES: f64 = 13.0;
 /// Number of servers that a proxy on a fallback subset has at least: half of such a subset.
 const MIN_FALLBACK_SERVERS: usize = 4;
 /// Time that a server drains until it is removed, and from then until its successor is listed.
@@ -26,7 +33,7 @@
     state: &'static str,
 }
 
-/// One run.
+/// One run: settings and pace are drawn from the seed.
 struct Replacement {
     scenario: Scenario,
     /// Time from one replacement to the next.
@@ -37,6 +44,54 @@
 }
 
 impl Replacement {
+    /// Settings at which what cannot be put off fits twice: a message to each proxy into the channel, and
+    /// into two thirds of the drain grace.
+    fn random(seed: u64) -> Self {
+        let mut random = Rand64::new(seed.into());
+        let mut between = |least: u64, most: u64| random.rand_range(least..most + 1);
+        let servers = between(6, 30) as u32;
+        let proxies = [between(1, 20), between(20, 220)][between(0, 1) as usize] as u32;
+        let message_overhead = between(0, 12) as f64;
+        let mean_transit = between(50, 170) * MS;
+        let drain_grace = between(2_200, 6_000) * MS;
+        let message_limit = [0, 0, 0, 1, 2, 3, 6, 10, 20][between(0, 8) as usize];
+        // With few messages, one holds what has changed of a third of the servers, which leave and are added.
+        let lines = if message_limit > 0 { 2.0 * f64::from(servers) / 3.0 } else { 1.0 };
+        let message_to_each = f64::from(proxies) * (message_overhead + 1.0 + lines);
+        let channel_capacity = message_to_each * between(20, 60) as f64 / 10.0;
+        let seconds = |span: u64| span as f64 / SECOND as f64;
+        let worst_transit = mean_transit * 5 / 2;
+        let rate = message_to_each * between(30, 60) as f64 / 10.0 / seconds(drain_grace);
+        let moves = f64::from(proxies) * (message_overhead + FALLBACK_LINES);
+        let rate_for_full_tables = 2.0 * moves / seconds(drain_grace - worst_transit);
+        let fits_full_tables = between(0, 2) > 0;
+        let lines_per_s = if fits_full_tables { rate.max(rate_for_full_tables) } else { rate };
+        let scenario = Scenario {
+            servers,
+            proxies,
+            message_overhead,
+            drain_grace,
+            mean_transit,
+            worst_transit,
+            lines_per_s,
+            channel_capacity: channel_capacity.max(message_overhead + FALLBACK_LINES),
+            message_limit,
+            ..Scenario::default()
+        };
+        let pause = between(600, 2_500) * MS;
+        // Some warm servers are listed at any time.
+        let mut least_pause = (DRAIN_TIME + SUCCESSOR_DELAY + SLOW_START) / u64::from(servers - 3);
+        // A message to each proxy fits twice between two replacements.
+        let message_time = (message_to_each / lines_per_s * SECOND as f64) as u64;
+        least_pause = least_pause.max(2 * message_time);
+        if message_limit > 0 {
+            // With few messages, at most a third of the table changes between two of them.
+            let between_messages = MESSAGE_WINDOW_MS * MS / u64::from(message_limit.min(5));
+            least_pause = least_pause.max(3 * between_messages / u64::from(servers));
+        }
+        Replacement { scenario, pause: pause.max(least_pause), fits_full_tables }
+    }
+
     /// Number of a server's successor.
     fn successor(&self, server: u32) -> u32 {
         server + self.scenario.servers
@@ -146,6 +201,32 @@
     }
 }
 
+/// Runs seeds on several threads. Returns a description of each that failed.
+fn failing_seeds(seeds: &[u64]) -> Vec<String> {
+    let workers = std::thread::available_parallelism().map_or(1, usize::from).min(4);
+    std::thread::scope(|scope| {
+        let run = |worker: usize| {
+            let seeds: Vec<u64> = seeds.iter().copied().skip(worker).step_by(workers).collect();
+            scope.spawn(move || {
+                let results = seeds.into_iter().map(|seed| Replacement::random(seed).run(seed));
+                results.filter_map(Result::err).collect::<Vec<String>>()
+            })
+        };
+        let threads: Vec<_> = (0..workers).map(run).collect();
+        threads.into_iter().flat_map(|thread| thread.join().unwrap()).collect()
+    })
+}
+
+/// Guards against bounds on lines or messages that exclude the smallest change for good.
+#[test]
+fn liveness_whatever_differs_is_sent_once_the_channel_idles() {
+    let seeds = std::env::var("SHALEREEL_SEEDS").ok().and_then(|seeds| seeds.parse().ok());
+    let seeds: Vec<u64> = (1..=seeds.unwrap_or(DEFAULT_SEEDS)).collect();
+    let failed = failing_seeds(&seeds);
+    println!("{} seeds, {} failed", seeds.len(), failed.len());
+    assert!(failed.is_empty(), "{} of {} seeds failed:\n{}", failed.len(), seeds.len(), failed.join("\n"));
+}
+
 /// Guards against a full table that gets no successors of its servers, since one line to each of 150 proxies is
 /// more than deferrable changes may take.
 #[test]
--- a/src/channel/table_choice.rs
+++ b/src/channel/table_choice.rs
@@ -83,11 +83,18 @@
     }
 
     /// Maximum number of proxies on the full table: as many as could be moved to fallback subsets within a
-    /// drain grace period.
+    /// drain grace period, and no more than can be sent a line each at once; none if the channel cannot hold the
+    /// full table.
     fn max_full_table_users(&self) -> usize {
+        let full_table = self.table_sizes().get(&FULL_TABLE).copied().unwrap_or_default();
+        if self.pacing.message_overhead + full_table.lines > self.pacing.capacity_lines {
+            return 0;
+        }
         let deliverable = self.pacing.deliverable_lines(self.drain_grace);
         let available = deliverable - self.pacing.configured_queue_target;
-        (MOVE_CAPACITY_SHARE * available.max(0.0) / self.fallback_message_lines()) as usize
+        let moved = (MOVE_CAPACITY_SHARE * available.max(0.0) / self.fallback_message_lines()) as usize;
+        let reached_at_once = self.pacing.capacity_lines / (self.message_cost() + 1.0);
+        moved.min(reached_at_once as usize)
     }
 
     /// Moves waiting proxies beyond the maximum number on the full table to fallback subsets, those with the
