Add waiting changes to messages no further than the bounds unless messages are limited

Change: without a limit on messages, what is added stays within what messages of its own may take, and nothing is added where removals go alone; messages of their own follow once the channel idles.

--- a/src/channel.rs
+++ b/src/channel.rs
@@ -194,9 +194,12 @@
                 let capacity_share = DEFERRABLE_CAPACITY_SHARE;
                 self.assign_tables(AssignmentScope::All { capacity_share }, mailboxes);
             }
-            let mut changes = self.differing_lines(now);
-            changes.retain(|change| !change.is_urgent());
-            self.send_updates(UpdateScope::Added, changes, removal_deadline, mailboxes);
+            // A limit on messages may leave none for what else waits.
+            if self.pacing.message_limit.exists() {
+                let mut changes = self.differing_lines(now);
+                changes.retain(|change| !change.is_urgent());
+                self.send_updates(UpdateScope::Added, changes, removal_deadline, mailboxes);
+            }
             return self.log_deadlines(mailboxes);
         }
         // Assignments are sent before deferrable changes while their quota from the last batch is not used
--- a/src/channel/allowance.rs
+++ b/src/channel/allowance.rs
@@ -67,6 +67,7 @@
         let lines = |capacity_share: f64| capacity_share * self.pacing.capacity_lines - queued;
         let admission_limit_lines = lines(ASSIGNMENT_CAPACITY_SHARE);
         let urgent_lines = lines(urgent_share(&self.pacing));
+        let deferrable_lines = lines(self.deferrable_capacity_share(overhead, now));
         let interval_is_over =
             now.saturating_sub(self.deferrable_sent_at) >= interval || self.deferrable_sent_at == 0;
         // Changes that would only wait in the queue wait here and are coalesced: they arrive no later, in
@@ -82,8 +83,8 @@
             urgent_lines,
             reduction_lines: lines(self.reduction_capacity_share(overhead)),
             admission_limit_lines,
-            deferrable_lines: lines(self.deferrable_capacity_share(overhead, now)),
-            added_lines: self.added_lines(removal_deadline, now).min(urgent_lines),
+            deferrable_lines,
+            added_lines: self.added_lines(removal_deadline, deferrable_lines, now).min(urgent_lines),
             idle: (queued == 0.0).then(|| self.idle_allowance(overhead)),
         }
     }
@@ -123,17 +124,20 @@
         IdleAllowance { batch_lines, first_lines: self.pacing.capacity_lines }
     }
 
-    /// Deferrable lines that may be added to the messages of this flush: no more than these messages have, and
-    /// as many as leave its removals in time even if the channel has slowed down. Where it has no removals, or
-    /// these are late whatever is added, what is added takes no more than half of the grace.
-    fn added_lines(&self, removal_deadline: Option<Nanos>, now: Nanos) -> f64 {
+    /// Deferrable lines that may be added to the messages of this flush, no more than these messages have. With
+    /// a limit on messages, which may leave none for deferrable changes, as many as leave removals in time even
+    /// if the channel has slowed down; where these are late whatever is added, it takes no more than half of
+    /// the grace. Otherwise no more than in messages of its own.
+    fn added_lines(&self, removal_deadline: Option<Nanos>, deferrable_lines: f64, now: Nanos) -> f64 {
         let forecast = self.pacing.cautious_forecast(now);
         let arrival = forecast.arrival(0.0);
         let margin = (ADDED_LINES_MARGIN_GRACE_SHARE * self.drain_grace as f64) as Nanos;
-        let spare_time = match removal_deadline {
-            Some(deadline) if arrival < deadline => (deadline - arrival).saturating_sub(margin),
-            _ => self.drain_grace / 2,
+        let lines_within = |time: Nanos| time as f64 * forecast.lines_per_ns;
+        let spare = match removal_deadline.filter(|_| self.pacing.message_limit.exists()) {
+            None => deferrable_lines,
+            Some(deadline) if arrival < deadline => lines_within((deadline - arrival).saturating_sub(margin)),
+            Some(_) => lines_within(self.drain_grace / 2),
         };
-        self.pacing.lines_sent_at(now).min(spare_time as f64 * forecast.lines_per_ns)
+        self.pacing.lines_sent_at(now).min(spare)
     }
 }
