Decode a client's line by its kind, and keep a bounded number of load values

Cause: the kind of a message was learned while its fields were decoded, so that all fields of a line of 1 MiB were held at the same time, several times their length, and all load values of a report were kept.

Change: the kind is decoded first, then the fields of that kind. A report keeps 256 load values.

The new test failed to hold its bound by construction before: all 50,000 values were kept.

--- a/crates/platform-supervisor/src/protocol.rs
+++ b/crates/platform-supervisor/src/protocol.rs
@@ -4,38 +4,66 @@
 
 use std::borrow::Cow;
 use std::collections::BTreeMap;
+use std::fmt;
 
+use serde::de::{Deserializer, MapAccess, Visitor};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+/// Maximum number of load values that are kept of a report; far more than a deployment has columns.
+const MAX_LOAD_VALUES: usize = 256;
+
 /// A message that a client of the supervisor sends.
-#[derive(Clone, Debug, Deserialize, PartialEq)]
-#[serde(tag = "t")]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Message<'a> {
     /// A client checks whether the supervisor is alive.
-    #[serde(rename = "probe")]
     LivenessProbe {},
     /// A collector joins. It reports on behalf of the proxies of a locality.
-    #[serde(rename = "agent")]
     CollectorJoin {
         /// Name of the locality.
-        #[serde(rename = "site", borrow)]
         locality: Cow<'a, str>,
     },
     /// A proxy joins.
-    #[serde(rename = "hello", borrow)]
     ProxyJoin(ProxyJoin<'a>),
     /// A proxy has applied all updates up to an ack request.
-    #[serde(rename = "ack")]
     Acknowledgement(Acknowledgement),
     /// Attempts of the proxies of a locality at one server, and their results.
-    #[serde(rename = "outcomes", borrow)]
     EndpointReport(EndpointReportMessage<'a>),
     /// Requests for one operation that a proxy received.
-    #[serde(rename = "demand", borrow)]
     DemandReport(DemandReportMessage<'a>),
 }
 
+/// The kind of a message. It is decoded before the other fields, since a decoder that learns the kind as it goes holds all
+/// fields in memory.
+#[derive(Deserialize)]
+enum MessageKind {
+    #[serde(rename = "probe")]
+    LivenessProbe,
+    #[serde(rename = "agent")]
+    CollectorJoin,
+    #[serde(rename = "hello")]
+    ProxyJoin,
+    #[serde(rename = "ack")]
+    Acknowledgement,
+    #[serde(rename = "outcomes")]
+    EndpointReport,
+    #[serde(rename = "demand")]
+    DemandReport,
+}
+
+#[derive(Deserialize)]
+struct KindField {
+    #[serde(rename = "t")]
+    kind: MessageKind,
+}
+
+/// The fields of [`Message::CollectorJoin`].
+#[derive(Deserialize)]
+struct CollectorJoin<'a> {
+    #[serde(rename = "site", borrow)]
+    locality: Cow<'a, str>,
+}
+
 /// The fields of [`Message::ProxyJoin`].
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct ProxyJoin<'a> {
@@ -89,7 +117,7 @@
     #[serde(rename = "over")]
     pub window_ms: f64,
     /// The server's load values by column name.
-    #[serde(rename = "util")]
+    #[serde(rename = "util", default, deserialize_with = "load_values")]
     pub load: Option<BTreeMap<String, f64>>,
 }
 
@@ -133,12 +161,62 @@
     if first != Some(&b'{') {
         return Err(DecodeError::MalformedJson);
     }
-    serde_json::from_slice(line).map_err(|error| match error.classify() {
+    decode_object(line).map_err(|error| match error.classify() {
         serde_json::error::Category::Data => DecodeError::InvalidMessage(error.to_string()),
         _ => DecodeError::MalformedJson,
     })
 }
 
+fn decode_object(line: &[u8]) -> Result<Message<'_>, serde_json::Error> {
+    let KindField { kind } = serde_json::from_slice(line)?;
+    Ok(match kind {
+        MessageKind::LivenessProbe => Message::LivenessProbe {},
+        MessageKind::CollectorJoin => {
+            let CollectorJoin { locality } = serde_json::from_slice(line)?;
+            Message::CollectorJoin { locality }
+        }
+        MessageKind::ProxyJoin => Message::ProxyJoin(serde_json::from_slice(line)?),
+        MessageKind::Acknowledgement => Message::Acknowledgement(serde_json::from_slice(line)?),
+        MessageKind::EndpointReport => Message::EndpointReport(serde_json::from_slice(line)?),
+        MessageKind::DemandReport => Message::DemandReport(serde_json::from_slice(line)?),
+    })
+}
+
+/// Decodes load values, of which the first [`MAX_LOAD_VALUES`] are kept.
+fn load_values<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Option<BTreeMap<String, f64>>, D::Error> {
+    Ok(Option::<LoadValues>::deserialize(deserializer)?.map(|LoadValues(values)| values))
+}
+
+struct LoadValues(BTreeMap<String, f64>);
+
+impl<'de> Deserialize<'de> for LoadValues {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_map(LoadValuesVisitor)
+    }
+}
+
+struct LoadValuesVisitor;
+
+impl<'de> Visitor<'de> for LoadValuesVisitor {
+    type Value = LoadValues;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a map of load values")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<LoadValues, A::Error> {
+        let mut values = BTreeMap::new();
+        while let Some((column, value)) = map.next_entry::<String, f64>()? {
+            if values.len() < MAX_LOAD_VALUES {
+                values.insert(column, value);
+            }
+        }
+        Ok(LoadValues(values))
+    }
+}
+
 /// The line that answers a [`Message::LivenessProbe`].
 pub const ALIVE_LINE: &[u8] = b"{\"t\":\"alive\"}\n";
 
--- a/crates/platform-supervisor/tests/decoding.rs
+++ b/crates/platform-supervisor/tests/decoding.rs
@@ -100,3 +100,16 @@
     framer.push(&[b'x'; 8], 8, |_| {}).unwrap();
     assert!(framer.push(b"x", 8, |_| {}).is_err());
 }
+
+/// Guards against lines of very many short fields that take many times their length in memory.
+#[test]
+fn report_with_very_many_load_values_keeps_a_bounded_number() {
+    let fields: Vec<String> = (0..50_000).map(|column| format!("\"{column:05}\":1")).collect();
+    let line = format!(
+        r#"{{"t":"outcomes","site":"north","target":"s1","count":1,"fail":0,"mean":1,"over":1000,"util":{{{}}}}}"#,
+        fields.join(",")
+    );
+    let Ok(Message::EndpointReport(report)) = decode_message(line.as_bytes()) else { panic!("not decoded") };
+    let load = report.load.unwrap();
+    assert_eq!((load.len(), load.first_key_value()), (256, Some((&"00000".to_owned(), &1.0))));
+}
