Limit memory over all connections, time for a message, and bytes read at once

Cause: limits on each connection and none on the sum; one wait read up to 256 KiB of every ready connection and returned all of it; queues were counted by content, not by what they take.

Change: one budget in the hub over incomplete messages and unread bytes; above it the connection that holds most is reset, as is one whose message does not end in time. A wait returns after a bounded number of bytes, ready sources take turns, and what is written is sent before more is read. The key connections_mb of shalereeld, optional, 64 unless given; shalereel node derives its figures from memory_mb, and disconnects the clients with the largest incomplete lines instead of the one that sends.

--- a/crates/cli/src/measure_command.rs
+++ b/crates/cli/src/measure_command.rs
@@ -27,6 +27,9 @@
     max_message_bytes: 16 << 20,
     max_concurrent_calls: 64,
     max_unsent_bytes: 64 << 20,
+    max_held_bytes: usize::MAX,
+    max_bytes_per_wait: usize::MAX,
+    message_timeout: Nanos::MAX / 2,
     user_timeout: TIMEOUT,
     retry_delay: TIMEOUT / 100,
 };
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -426,3 +426,46 @@
     let status = wait_for("exit of the supervisor", || supervisor.child.try_wait().unwrap());
     assert!(status.success(), "{status}");
 }
+
+/// Peak of a process's resident memory, in kB.
+fn peak_memory_kb(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+    line.trim().trim_end_matches(" kB").parse().unwrap()
+}
+
+/// Writes to each of the clients in turn, as far as they take it, for a time.
+fn write_to_all(clients: &mut [Client], bytes: &[u8], time: Duration) {
+    clients.iter().for_each(|client| client.stream.set_nonblocking(true).unwrap());
+    let mut written = vec![0; clients.len()];
+    let deadline = Instant::now() + time;
+    while Instant::now() < deadline {
+        for (client, written) in clients.iter_mut().zip(&mut written) {
+            // An error means that the supervisor has closed the connection, or that its buffer is full.
+            *written += client.stream.write(&bytes[*written % bytes.len()..]).unwrap_or_default();
+        }
+    }
+}
+
+/// Guards against memory beyond the limit, for which the platform kills the supervisor.
+#[test]
+fn clients_that_stop_within_messages_or_read_nothing_do_not_exhaust_the_memory() {
+    let discovery = Discovery::new();
+    let supervisor = Supervisor::start("node-memory", discovery.address);
+    let connect = || {
+        let mut client = Client::connect(supervisor.address).unwrap();
+        client.send(&json!({"t": "agent", "site": "north"}));
+        client
+    };
+    let mut not_reading: Vec<Client> = (0..40).map(|_| connect()).collect();
+    let probes = "{\"t\":\"probe\"}\n".repeat(10_000);
+    write_to_all(&mut not_reading, probes.as_bytes(), Duration::from_secs(3));
+    drop(not_reading);
+    let mut stopping: Vec<Client> = (0..40).map(|_| connect()).collect();
+    let incomplete = [b"{\"t\":\"outcomes\",\"site\":\"".to_vec(), vec![b'a'; 900_000]].concat();
+    write_to_all(&mut stopping, &incomplete, Duration::from_secs(1));
+    let mut proxy = Client::proxy(&supervisor, 1, true);
+    proxy.wait_for_table(1, &["s0", "s1", "s2"]);
+    let peak = peak_memory_kb(supervisor.child.id());
+    assert!(peak <= 32 << 10, "{peak} kB");
+}
--- a/crates/cli/tests/sasp.rs
+++ b/crates/cli/tests/sasp.rs
@@ -186,3 +186,39 @@
     healthy.receive_matching(drained).unwrap();
     let _ = std::fs::remove_dir_all(folder);
 }
+
+/// Peak of a process's resident memory, in kB.
+fn peak_memory_kb(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+    line.trim().trim_end_matches(" kB").parse().unwrap()
+}
+
+/// Guards against clients that stop within messages of maximum size and hold the supervisor's memory.
+#[test]
+fn balancers_that_stop_within_messages_do_not_exhaust_the_memory() {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("sasp-memory-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file: PathBuf = folder.join("supervisor.toml");
+    let text = include_str!("days/sasp-supervisor.toml")
+        .replace("REGISTRY", "127.0.0.1:9")
+        .replace("FOLDER", &folder.join("state").to_string_lossy());
+    std::fs::write(&file, format!("connections_mb = 8.0\n{text}")).unwrap();
+    let (supervisor, ready, _input) = start(&["daemon", "--config", &file.to_string_lossy()], None);
+    let stopping: Vec<Balancer> = (0..40).map(|_| Balancer::connect(ready.addresses[1])).collect();
+    let mut start_of_message = Message { id: 1, body: set_lb_state("stopping") }.encode().to_vec();
+    // The header says that the message has almost 4 MiB.
+    start_of_message[5..9].copy_from_slice(&(4_u32 << 20).to_be_bytes());
+    start_of_message.resize(3 << 20, 0);
+    for mut socket in stopping.iter().map(|balancer| &balancer.socket) {
+        socket.set_write_timeout(Some(TIMEOUT)).unwrap();
+        // An error means that the supervisor has closed the connection.
+        let _ = socket.write_all(&start_of_message);
+    }
+    let mut healthy = Balancer::connect(ready.addresses[1]);
+    healthy.send(set_lb_state("healthy"));
+    let accepted = healthy.receive_matching(|body| matches!(body, Body::LbStateSet(_)).then_some(()));
+    assert_eq!(accepted, Some(()), "a balancer that sends complete messages is answered");
+    let peak = peak_memory_kb(supervisor.0.id());
+    assert!(peak <= 48 << 10, "{peak} kB");
+}
--- a/crates/fault-scenarios/src/admin_client.rs
+++ b/crates/fault-scenarios/src/admin_client.rs
@@ -94,6 +94,9 @@
         max_message_bytes: MAX_MESSAGE_BYTES,
         max_concurrent_calls: 4,
         max_unsent_bytes: MAX_UNSENT_BYTES,
+        max_held_bytes: usize::MAX,
+        max_bytes_per_wait: usize::MAX,
+        message_timeout: Nanos::MAX / 2,
         user_timeout: REQUEST_TIMEOUT,
         retry_delay: REQUEST_TIMEOUT / 100,
     };
--- a/crates/platform-supervisor/src/limits.rs
+++ b/crates/platform-supervisor/src/limits.rs
@@ -20,6 +20,12 @@
 const MAX_UNIDENTIFIED_MESSAGE_BYTES: usize = 4 << 10;
 /// Incomplete messages of all connections together may take the memory limit divided by this.
 const BUFFERED_MEMORY_DIVISOR: usize = 8;
+/// Part of the buffered bytes from which a client's share of them is large.
+const LARGE_SHARE_DIVISOR: usize = 8;
+/// Bytes that peers have not read, of all connections together, may take the memory limit divided by this.
+const UNSENT_MEMORY_DIVISOR: usize = 8;
+/// Received bytes that are handled at once may take the memory limit divided by this.
+const RECEIVED_MEMORY_DIVISOR: usize = 64;
 /// Sockets reserved for discovery, health checks and the process: the socket limit divided by this, but no
 /// fewer than the minimum.
 const RESERVED_SOCKETS_DIVISOR: u64 = 16;
@@ -124,10 +130,29 @@
         MAX_UNIDENTIFIED_MESSAGE_BYTES
     }
 
+    fn memory_bytes(&self) -> usize {
+        (self.resources.memory_mb as usize).max(1) * (1 << 20)
+    }
+
+    /// Maximum bytes that peers have not read, of all connections together.
+    pub fn max_unread_bytes_of_all(&self) -> usize {
+        self.memory_bytes() / UNSENT_MEMORY_DIVISOR
+    }
+
+    /// Number of received bytes that are handled before more is read.
+    pub fn max_bytes_per_wait(&self) -> usize {
+        self.memory_bytes() / RECEIVED_MEMORY_DIVISOR
+    }
+
     /// Maximum bytes of incomplete messages that are buffered for all connections together; also the maximum
     /// length of a line from discovery.
     pub fn max_buffered_bytes(&self) -> usize {
-        (self.resources.memory_mb as usize).max(1) * (1 << 20) / BUFFERED_MEMORY_DIVISOR
+        self.memory_bytes() / BUFFERED_MEMORY_DIVISOR
+    }
+
+    /// Bytes of an incomplete message above which a client has a large share of what may be buffered.
+    pub fn large_buffered_bytes(&self) -> usize {
+        self.max_buffered_bytes() / LARGE_SHARE_DIVISOR
     }
 
     /// Delay before the retry of a system call that failed because the kernel lacked memory or descriptors.
--- a/crates/platform-supervisor/src/line_framer.rs
+++ b/crates/platform-supervisor/src/line_framer.rs
@@ -49,6 +49,11 @@
     pub fn buffered_bytes(&self) -> usize {
         self.buffered.len()
     }
+
+    /// Bytes that are allocated for the incomplete line, which may be up to twice as many.
+    pub fn allocated_bytes(&self) -> usize {
+        self.buffered.capacity()
+    }
 }
 
 fn check_length(bytes: usize, limit: usize) -> Result<(), LineTooLong> {
--- a/crates/platform-supervisor/src/runtime.rs
+++ b/crates/platform-supervisor/src/runtime.rs
@@ -95,6 +95,10 @@
         // No gRPC is served here.
         max_concurrent_calls: 0,
         max_unsent_bytes: limits.max_unread_bytes(),
+        // Incomplete messages are buffered, and limited, by the supervisor.
+        max_held_bytes: limits.max_unread_bytes_of_all(),
+        max_bytes_per_wait: limits.max_bytes_per_wait(),
+        message_timeout: limits.proxy_silence_timeout(),
         // Applies to the connections to discovery and to servers too.
         user_timeout: limits.proxy_silence_timeout(),
         retry_delay: limits.kernel_retry_delay(),
--- a/crates/platform-supervisor/src/supervisor/connections.rs
+++ b/crates/platform-supervisor/src/supervisor/connections.rs
@@ -119,7 +119,7 @@
 
     fn remove_connection(&mut self, connection: C, reason: &CloseReason<'_>, now: Nanos) {
         let Some(removed) = self.connections.remove(&connection) else { return };
-        self.buffered_bytes -= removed.lines.buffered_bytes();
+        self.buffered_bytes -= removed.lines.allocated_bytes();
         match removed.role {
             Role::Unidentified => {}
             Role::Collector => self.log(now, format!("collector disconnected: {reason}")),
@@ -182,18 +182,34 @@
             self.limits.max_unidentified_message_bytes()
         };
         let mut lines = std::mem::take(&mut client.lines);
-        let buffered_before = lines.buffered_bytes();
+        let buffered_before = lines.allocated_bytes();
         let result = lines.push(bytes, max_line_bytes, |line| self.line_received(connection, line, now));
         let Some(client) = self.connections.get_mut(&connection) else {
             // The connection was closed by one of the lines, while its framer was taken out of it.
             self.buffered_bytes -= buffered_before;
             return;
         };
-        self.buffered_bytes = self.buffered_bytes - buffered_before + lines.buffered_bytes();
+        self.buffered_bytes = self.buffered_bytes - buffered_before + lines.allocated_bytes();
         client.lines = lines;
-        if result.is_err() || self.buffered_bytes > self.limits.max_buffered_bytes() {
+        if result.is_err() {
             self.reject(connection, RejectReason::MessageTooLong, now);
         }
+        self.limit_buffered_bytes(now);
+    }
+
+    /// Disconnects clients until all together hold no more incomplete messages than the limit: first those with a
+    /// large share, then those that have not joined, the longest message first.
+    fn limit_buffered_bytes(&mut self, now: Nanos) {
+        let large = self.limits.large_buffered_bytes();
+        let rank = |client: &Connection| {
+            let bytes = client.lines.allocated_bytes();
+            (bytes > large, !client.is_joined(), bytes)
+        };
+        while self.buffered_bytes > self.limits.max_buffered_bytes() {
+            let holding = self.connections.iter().filter(|(_, client)| client.lines.allocated_bytes() > 0);
+            let Some((&first, _)) = holding.max_by_key(|(_, client)| rank(client)) else { return };
+            self.reject(first, RejectReason::MessageTooLong, now);
+        }
     }
 
     /// Makes an unidentified client a proxy. An earlier connection of the same proxy is closed.
--- a/crates/reactor/src/socket.rs
+++ b/crates/reactor/src/socket.rs
@@ -14,7 +14,7 @@
 use crate::loopback::require_loopback;
 
 /// Maximum bytes that are read from one socket before other sockets are polled.
-const MAX_READ_BYTES_PER_POLL: usize = 256 * 1024;
+const MAX_READ_BYTES_PER_POLL: usize = 64 * 1024;
 
 /// Repeats a call while it is interrupted by a signal, as the standard library does for `accept`.
 fn retry_interrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
--- a/crates/rpc/src/connection/call.rs
+++ b/crates/rpc/src/connection/call.rs
@@ -10,7 +10,7 @@
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream, SendStream};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
-use shalereel_reactor::Nanos;
+use shalereel_reactor::{now, Nanos};
 
 use super::{ConnectionEvent, StreamId};
 use crate::{Code, Framer, Status};
@@ -45,6 +45,8 @@
     send_stream: Option<SendStream<Bytes>>,
     unsent: VecDeque<Bytes>,
     unsent_bytes: usize,
+    /// When the incomplete message at the end of what was received began.
+    incomplete_since: Option<Nanos>,
     /// Set once the sending side is to end after the unsent bytes. A server then sends this status; a client only closes its
     /// side.
     finish: Option<Status>,
@@ -60,6 +62,7 @@
             send_stream: None,
             unsent: VecDeque::new(),
             unsent_bytes: 0,
+            incomplete_since: None,
             finish: None,
             respond: None,
         }
@@ -109,6 +112,19 @@
         self.unsent_bytes
     }
 
+    pub fn incomplete_bytes(&self) -> usize {
+        self.framer.buffered_bytes()
+    }
+
+    pub fn incomplete_since(&self) -> Option<Nanos> {
+        self.incomplete_since
+    }
+
+    /// Unsent bytes that only this call refers to.
+    pub fn unshared_unsent_bytes(&self) -> usize {
+        self.unsent.iter().filter(|framed| framed.is_unique()).map(Bytes::len).sum()
+    }
+
     pub fn finish(&mut self, status: Status) {
         self.finish.get_or_insert(status);
     }
@@ -202,8 +218,14 @@
                 self.framer.push(&piece);
                 loop {
                     match self.framer.take() {
-                        Ok(Some(message)) => events.push(ConnectionEvent::Message { stream, message }),
-                        Ok(None) => return Received::Progress,
+                        Ok(Some(message)) => {
+                            self.incomplete_since = None;
+                            events.push(ConnectionEvent::Message { stream, message });
+                        }
+                        Ok(None) => {
+                            self.note_incomplete_message();
+                            return Received::Progress;
+                        }
                         Err(error) => return Received::Ended(self.reject(error.into())),
                     }
                 }
@@ -213,6 +235,15 @@
         }
     }
 
+    /// Records when the incomplete message began, if there is one.
+    fn note_incomplete_message(&mut self) {
+        if self.framer.is_empty() {
+            self.incomplete_since = None;
+        } else {
+            self.incomplete_since.get_or_insert_with(now);
+        }
+    }
+
     /// Handles the end of the peer's messages.
     fn end_messages(&mut self, stream: StreamId, events: &mut Vec<ConnectionEvent>) -> Received {
         if let Err(error) = self.framer.finish() {
--- a/crates/rpc/src/connection/mod.rs
+++ b/crates/rpc/src/connection/mod.rs
@@ -31,7 +31,8 @@
 /// Largest value of the `grpc-timeout` header, which has at most eight digits.
 const MAX_TIMEOUT_MICROS: Nanos = 99_999_999;
 
-/// Resource limits of one connection. A call or connection that exceeds them is ended; the process continues.
+/// Resource limits of each connection and of all together. A call or connection that exceeds them is ended; the process
+/// continues.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionLimits {
     /// Longest message that is accepted, bytes.
@@ -40,6 +41,13 @@
     pub max_concurrent_calls: u32,
     /// Largest number of unsent bytes for a peer that does not read. A call or plain connection with more is ended.
     pub max_unsent_bytes: usize,
+    /// Largest number of bytes of incomplete messages and unsent bytes of all connections together. Above it the connection
+    /// that holds the most is ended.
+    pub max_held_bytes: usize,
+    /// Number of received bytes after which a wait returns before further connections are read.
+    pub max_bytes_per_wait: usize,
+    /// Time within which a message must be complete after its first byte, ns.
+    pub message_timeout: Nanos,
     /// A connection ends if the peer's kernel acknowledges no data for this time, ns.
     pub user_timeout: Nanos,
     /// Delay before an operation that the kernel has refused for lack of memory or descriptors is retried, ns.
@@ -79,6 +87,17 @@
     },
 }
 
+impl ConnectionEvent {
+    /// Number of bytes that the event holds.
+    pub fn received_bytes(&self) -> usize {
+        match self {
+            ConnectionEvent::Message { message, .. } => message.len(),
+            ConnectionEvent::Call { path, .. } => path.len(),
+            ConnectionEvent::HalfClosed { .. } | ConnectionEvent::Ended { .. } => 0,
+        }
+    }
+}
+
 /// Why a connection has ended.
 #[derive(Debug, Error)]
 pub enum CloseReason {
@@ -88,6 +107,12 @@
     /// The peer has left too many bytes unread; their number.
     #[error("{0} bytes left unread by the peer")]
     Unread(usize),
+    /// The connection held the most when all connections together held too many bytes; its number of bytes.
+    #[error("{0} bytes held, the most when all connections together held too many")]
+    HeldBytes(usize),
+    /// A message was not complete in time.
+    #[error("a message was not complete in time")]
+    MessageTimeout,
     /// A system call has failed.
     #[error(transparent)]
     Io(#[from] io::Error),
@@ -187,6 +212,21 @@
         self.calls.get(&stream).map_or(0, Call::unsent_bytes)
     }
 
+    /// Number of bytes of incomplete messages, of all calls.
+    pub fn incomplete_bytes(&self) -> usize {
+        self.calls.values().map(Call::incomplete_bytes).sum()
+    }
+
+    /// When the oldest incomplete message began; `None` if there is none.
+    pub fn incomplete_since(&self) -> Option<Nanos> {
+        self.calls.values().filter_map(Call::incomplete_since).min()
+    }
+
+    /// Number of bytes of all calls that HTTP/2 has not taken yet, without those that other connections share.
+    pub fn unshared_unsent_bytes(&self) -> usize {
+        self.calls.values().map(Call::unshared_unsent_bytes).sum()
+    }
+
     /// Server side: ends the call with a status. Client side: tells the peer that no more messages follow.
     pub fn finish(&mut self, stream: StreamId, status: Status) {
         if let Some(call) = self.calls.get_mut(&stream) {
--- a/crates/rpc/src/framing.rs
+++ b/crates/rpc/src/framing.rs
@@ -92,7 +92,20 @@
             return Ok(None);
         }
         self.buffered.advance(PREFIX_BYTES);
-        Ok(Some(self.buffered.split_to(size).freeze()))
+        let message = self.buffered.split_to(size).freeze();
+        // What follows must not keep the memory of the message.
+        self.buffered = BytesMut::from(&self.buffered[..]);
+        Ok(Some(message))
+    }
+
+    /// Number of bytes that are allocated for an incomplete message.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffered.capacity()
+    }
+
+    /// Whether there is no incomplete message.
+    pub fn is_empty(&self) -> bool {
+        self.buffered.is_empty()
     }
 
     /// Checks that the stream has ended between messages.
--- a/crates/rpc/src/hub/connections.rs
+++ b/crates/rpc/src/hub/connections.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use shalereel_reactor::{dial, dial_any_address, Nanos, Socket};
+use shalereel_reactor::{dial, dial_any_address, now, Nanos, Socket};
 
+use super::memory::HeldBytes;
 use super::plain::PlainConnection;
 use super::{ConnId, Hub, Input};
 use crate::connection::{CloseReason, Connection, ConnectionEvent, ConnectionLimits, StreamId};
@@ -201,9 +202,64 @@
         }
     }
 
+    /// Sets how much of what was received on a plain connection the caller holds as an incomplete message, and when the
+    /// message began. It counts towards the limits on held bytes and on the time of a message.
+    pub fn set_incomplete(&mut self, conn: ConnId, bytes: usize, since: Option<Nanos>) {
+        if let Some(plain) = self.connections.get_mut(&conn).and_then(OpenConnection::plain_mut) {
+            plain.incomplete_bytes = bytes;
+            plain.incomplete_since = since.filter(|_| bytes > 0);
+            self.update_memory(conn);
+        }
+    }
+
+    /// Records what is held for a connection.
+    fn update_memory(&mut self, conn: ConnId) {
+        let Some(open) = self.connections.get(&conn) else { return self.memories.remove(conn) };
+        let (held, since) = match &open.transport {
+            Transport::Grpc { connection, .. } => {
+                let (incomplete, unsent) =
+                    (connection.incomplete_bytes(), connection.unshared_unsent_bytes());
+                (HeldBytes { incomplete, unsent }, connection.incomplete_since())
+            }
+            Transport::Plain(plain) => {
+                let (incomplete, unsent) = (plain.incomplete_bytes, plain.unshared_unsent_bytes());
+                (HeldBytes { incomplete, unsent }, plain.incomplete_since)
+            }
+        };
+        self.memories.set(conn, held, since);
+    }
+
+    /// Ends the connections that hold the most until all together hold no more than the limit.
+    pub(super) fn enforce_held_bytes(&mut self) {
+        while let Some((conn, bytes)) = self.memories.largest_above(self.limits.max_held_bytes) {
+            self.end(conn, CloseReason::HeldBytes(bytes));
+        }
+    }
+
+    /// Ends the connections with a message that is not complete in time.
+    pub(super) fn end_overdue_messages(&mut self) {
+        let began_before = now().saturating_sub(self.limits.message_timeout);
+        for conn in self.memories.incomplete_since_before(began_before) {
+            self.end(conn, CloseReason::MessageTimeout);
+        }
+    }
+
+    /// Time by which the oldest incomplete message must be complete.
+    pub(super) fn next_message_deadline(&self) -> Option<Nanos> {
+        self.memories.oldest_incomplete().map(|since| since.saturating_add(self.limits.message_timeout) + 1)
+    }
+
+    /// Ends a connection with a TCP reset, and reports it as closed for this reason.
+    fn end(&mut self, conn: ConnId, reason: CloseReason) {
+        self.reset(conn);
+        self.memories.remove(conn);
+        self.ready.push_back(Input::Closed { conn, reason });
+    }
+
     /// Closes a connection at once. Unsent bytes of a plain connection are sent as far as the kernel takes them. No
     /// [`Input::Closed`] follows.
     pub fn close(&mut self, conn: ConnId) {
+        self.memories.remove(conn);
         let Some(mut open) = self.connections.remove(&conn) else { return };
         if let Some(plain) = open.plain_mut() {
             let _ = plain.write(&mut Context::from_waker(&self.reactor.waker(conn.0)));
@@ -213,6 +269,7 @@
 
     /// Closes a connection at once with a TCP reset. No [`Input::Closed`] follows.
     pub fn reset(&mut self, conn: ConnId) {
+        self.memories.remove(conn);
         if let Some(open) = self.connections.remove(&conn) {
             let _ = open.socket().reset_at_close();
         }
@@ -237,6 +294,24 @@
         }
     }
 
+    /// Sends on all connections whose state a method has changed, before anything is received. Plain connections are left to
+    /// be read in turn.
+    pub(super) fn send_pending(&mut self) {
+        for conn in std::mem::take(&mut self.to_poll) {
+            let waker = self.reactor.waker(conn.0);
+            let open = self.connections.get_mut(&conn).filter(|open| !open.is_paused);
+            if let Some(plain) = open.and_then(OpenConnection::plain_mut) {
+                // The poll that follows reports an error.
+                let _ = plain.write(&mut Context::from_waker(&waker));
+                self.update_memory(conn);
+                self.deferred.push(conn.0);
+            } else {
+                self.poll(conn);
+            }
+        }
+        self.enforce_held_bytes();
+    }
+
     /// Receives and sends as much as possible on a connection.
     pub(super) fn poll(&mut self, conn: ConnId) {
         let Some(open) = self.connections.get_mut(&conn).filter(|open| !open.is_paused) else { return };
@@ -246,12 +321,14 @@
             Transport::Grpc { connection, .. } => {
                 let mut events = Vec::new();
                 let closed = connection.poll(&mut cx, &mut events);
+                self.received_bytes += events.iter().map(ConnectionEvent::received_bytes).sum::<usize>();
                 self.ready.extend(events.into_iter().map(|event| Input::from_event(conn, event)));
                 closed
             }
             Transport::Plain(plain) => {
                 let mut received = Vec::new();
                 let closed = plain.poll(&mut cx, &mut received, self.limits.max_unsent_bytes);
+                self.received_bytes += received.iter().map(Bytes::len).sum::<usize>();
                 self.ready.extend(received.into_iter().map(|bytes| Input::Bytes { conn, bytes }));
                 if plain.take_refused() {
                     self.retries.connections.insert(conn);
@@ -263,6 +340,7 @@
         if let Poll::Ready(reason) = closed {
             self.handle_ended(conn, reason);
         }
+        self.update_memory(conn);
     }
 
     /// Handles the end of a connection. A half-closed connection stays open until the caller has responded to what was read.
--- a/crates/rpc/src/hub/mod.rs
+++ b/crates/rpc/src/hub/mod.rs
@@ -2,7 +2,9 @@
 
 mod connections;
 mod listeners;
+mod memory;
 mod plain;
+mod ready_sources;
 mod sources;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -15,6 +17,8 @@
 use crate::Status;
 use connections::OpenConnection;
 use listeners::ListenerState;
+use memory::ConnectionMemories;
+use ready_sources::ReadySources;
 use sources::{StandardInput, WakeStream};
 
 /// Identifies one connection of this process.
@@ -118,6 +122,11 @@
     /// No connections are accepted while this many are open.
     max_connections: usize,
     connections: BTreeMap<ConnId, OpenConnection>,
+    memories: ConnectionMemories,
+    /// Number of bytes that were received since the last wait returned.
+    received_bytes: usize,
+    /// Ready sources that are left for the next wait.
+    deferred: ReadySources,
     /// Connections to be polled before the next wait, since a method has changed their state.
     to_poll: BTreeSet<ConnId>,
     /// Plain connections that the peer has half closed. They stay open until the caller has responded to what was read, and
@@ -144,6 +153,9 @@
             listeners: BTreeMap::new(),
             max_connections: usize::MAX,
             connections: BTreeMap::new(),
+            memories: ConnectionMemories::default(),
+            received_bytes: 0,
+            deferred: ReadySources::default(),
             to_poll: BTreeSet::new(),
             half_closed_connections: BTreeSet::new(),
             retries: Retries::default(),
@@ -174,18 +186,21 @@
             for conn in std::mem::take(&mut self.half_closed_connections) {
                 self.close(conn);
             }
-            for conn in std::mem::take(&mut self.to_poll) {
-                self.poll(conn);
-            }
+            self.send_pending();
+            self.dispatch_deferred();
             self.accept_waiting();
             self.retry_refused();
             self.push_due_timers();
-            let wake_at = self.timers.next_at().into_iter().chain(until).chain(self.retries.due_at).min();
-            let wake_at = if self.ready.is_empty() { wake_at } else { Some(0) };
-            for token in self.reactor.wait(wake_at)? {
-                self.dispatch(token);
-            }
+            self.end_overdue_messages();
+            let wake_at = self.timers.next_at().into_iter().chain(until).chain(self.retries.due_at);
+            let wake_at = wake_at.chain(self.next_message_deadline()).min();
+            let is_waiting = self.ready.is_empty() && self.deferred.is_empty();
+            let ready_sources = self.reactor.wait(if is_waiting { wake_at } else { Some(0) })?;
+            ready_sources.into_iter().for_each(|token| self.deferred.push(token));
+            self.dispatch_deferred();
+            self.enforce_held_bytes();
             if !self.ready.is_empty() || until.is_some_and(|until| now() >= until) {
+                self.received_bytes = 0;
                 return Ok(self.ready.drain(..).collect());
             }
         }
@@ -198,6 +213,15 @@
         }
     }
 
+    /// Polls ready sources until enough bytes were received. The rest is left for the next wait, so that received bytes of many
+    /// connections are not held at once.
+    fn dispatch_deferred(&mut self) {
+        while self.received_bytes < self.limits.max_bytes_per_wait {
+            let Some(token) = self.deferred.pop() else { return };
+            self.dispatch(token);
+        }
+    }
+
     /// Polls the connection, listener or other source that has this token.
     fn dispatch(&mut self, token: Token) {
         if self.connections.contains_key(&ConnId(token)) {
--- a/crates/rpc/src/hub/plain.rs
+++ b/crates/rpc/src/hub/plain.rs
@@ -6,17 +6,22 @@
 use std::task::{Context, Poll};
 
 use bytes::{Buf, Bytes};
-use shalereel_reactor::{is_out_of_kernel_memory, Socket};
+use shalereel_reactor::{is_out_of_kernel_memory, Nanos, Socket};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::connection::CloseReason;
 
 const READ_BUFFER_BYTES: usize = 16 * 1024;
+/// Bytes that an entry of the unsent queue takes beside its content.
+const QUEUE_ENTRY_BYTES: usize = size_of::<Bytes>();
 
 pub(super) struct PlainConnection {
     pub socket: Socket,
     /// Bytes to send. Connections that are sent the same bytes share them.
     unsent: VecDeque<Bytes>,
+    /// Bytes of an incomplete message that the caller holds, and when it began.
+    pub incomplete_bytes: usize,
+    pub incomplete_since: Option<Nanos>,
     /// Whether the peer has closed its sending side in an orderly way.
     pub is_half_closed: bool,
     /// Whether the kernel has refused a read or a write for lack of resources.
@@ -25,7 +30,14 @@
 
 impl PlainConnection {
     pub fn new(socket: Socket) -> Self {
-        PlainConnection { socket, unsent: VecDeque::new(), is_half_closed: false, was_refused: false }
+        PlainConnection {
+            socket,
+            unsent: VecDeque::new(),
+            incomplete_bytes: 0,
+            incomplete_since: None,
+            is_half_closed: false,
+            was_refused: false,
+        }
     }
 
     pub fn send(&mut self, bytes: Bytes) {
@@ -36,6 +48,12 @@
         self.unsent.iter().map(Bytes::len).sum()
     }
 
+    /// Bytes that the unsent queue takes, without content that other connections share.
+    pub fn unshared_unsent_bytes(&self) -> usize {
+        let content = self.unsent.iter().filter(|bytes| bytes.is_unique()).map(Bytes::len).sum::<usize>();
+        self.unsent.len() * QUEUE_ENTRY_BYTES + content
+    }
+
     /// Whether the kernel has refused a read or a write since the last call of this method.
     pub fn take_refused(&mut self) -> bool {
         std::mem::take(&mut self.was_refused)
--- a/crates/rpc/tests/descriptors.rs
+++ b/crates/rpc/tests/descriptors.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
-use shalereel_reactor::{now, SECOND};
+use shalereel_reactor::{now, Nanos, SECOND};
 use shalereel_rpc::{ConnectionLimits, Hub, Input};
 
 /// Waits until the expected number of connections are accepted or a second has passed; returns the number accepted.
@@ -27,6 +27,9 @@
         max_message_bytes: 1 << 20,
         max_concurrent_calls: 0,
         max_unsent_bytes: 1 << 20,
+        max_held_bytes: usize::MAX,
+        max_bytes_per_wait: usize::MAX,
+        message_timeout: Nanos::MAX / 2,
         user_timeout: 10 * SECOND,
         retry_delay: SECOND / 20,
     };
--- a/crates/rpc/tests/wire.rs
+++ b/crates/rpc/tests/wire.rs
@@ -4,13 +4,16 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use shalereel_reactor::{now, SECOND};
+use shalereel_reactor::{now, Nanos, SECOND};
 use shalereel_rpc::{Code, ConnectionLimits, Hub, Input, Status};
 
 const LIMITS: ConnectionLimits = ConnectionLimits {
     max_message_bytes: 1024,
     max_concurrent_calls: 8,
     max_unsent_bytes: 4096,
+    max_held_bytes: usize::MAX,
+    max_bytes_per_wait: usize::MAX,
+    message_timeout: Nanos::MAX / 2,
     user_timeout: SECOND,
     retry_delay: SECOND / 20,
 };
--- a/crates/sasp/src/frames.rs
+++ b/crates/sasp/src/frames.rs
@@ -36,6 +36,16 @@
         self.buffered.len()
     }
 
+    /// Number of bytes that are allocated for an incomplete message.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffered.capacity()
+    }
+
+    /// Whether there is no incomplete message.
+    pub fn is_empty(&self) -> bool {
+        self.buffered.is_empty()
+    }
+
     /// Takes the next complete message; `None` if more bytes are needed.
     ///
     /// # Errors
@@ -52,6 +62,8 @@
         }
         let id = self.u32_at(MESSAGE_ID_AT);
         let mut rest = self.buffered.split_to(size).freeze();
+        // What follows must not keep the memory of the message.
+        self.buffered = BytesMut::from(&self.buffered[..]);
         rest.advance(HEADER_BYTES);
         let body = Body::decode(&mut rest)?;
         if rest.has_remaining() {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -23,7 +23,7 @@
 
 use anyhow::{bail, Context, Result};
 use serde::de::DeserializeOwned;
-use shalereel_reactor::SECOND;
+use shalereel_reactor::{Nanos, SECOND};
 use shalereel_rpc::{ConnectionLimits, Hub, Input};
 
 /// Limits of each connection of a stand-in.
@@ -31,6 +31,9 @@
     max_message_bytes: 4 << 20,
     max_concurrent_calls: 10_000,
     max_unsent_bytes: 16 << 20,
+    max_held_bytes: usize::MAX,
+    max_bytes_per_wait: usize::MAX,
+    message_timeout: Nanos::MAX / 2,
     user_timeout: 20 * SECOND,
     retry_delay: SECOND / 20,
 };
--- a/crates/xds-supervisor/src/client_limits.rs
+++ b/crates/xds-supervisor/src/client_limits.rs
@@ -10,6 +10,8 @@
 const MAX_CALLS_PER_CONNECTION: u32 = 64;
 /// Maximum number of messages of maximum size that are buffered for a peer that does not read.
 const MAX_BUFFERED_MESSAGES: usize = 2;
+/// Received bytes that are handled before more is read.
+const MAX_BYTES_PER_WAIT: usize = 1 << 20;
 /// Maximum number of members of one balancer: ten thousand servers, each listed twice.
 const MAX_MEMBERS_PER_BALANCER: usize = 20_000;
 /// Maximum number of groups of one balancer: sixteen for each of sixteen operations.
@@ -107,12 +109,15 @@
         MAX_LOG_ENTRIES_PER_MESSAGE
     }
 
-    /// Limits of one gRPC connection.
-    pub fn connection(&self) -> shalereel_rpc::ConnectionLimits {
+    /// Limits of connections, which may hold `max_held_bytes` together.
+    pub fn connection(&self, max_held_bytes: usize) -> shalereel_rpc::ConnectionLimits {
         shalereel_rpc::ConnectionLimits {
             max_message_bytes: MAX_MESSAGE_BYTES,
             max_concurrent_calls: MAX_CALLS_PER_CONNECTION,
             max_unsent_bytes: MAX_BUFFERED_MESSAGES * MAX_MESSAGE_BYTES,
+            max_held_bytes,
+            max_bytes_per_wait: MAX_BYTES_PER_WAIT,
+            message_timeout: self.ack_timeout(),
             user_timeout: self.ack_timeout(),
             retry_delay: KERNEL_RETRY_DELAY,
         }
--- a/crates/xds-supervisor/src/client_limits/tests.rs
+++ b/crates/xds-supervisor/src/client_limits/tests.rs
@@ -12,6 +12,6 @@
     assert_eq!(limits.registry_redial_at(1000), 1040);
     assert_eq!(limits.list_write_at(1000), 1010);
     assert_eq!(limits.health_check_deadline(1000), 1040);
-    assert_eq!(limits.connection().user_timeout, 600);
+    assert_eq!(limits.connection(1 << 26).user_timeout, 600);
     assert_eq!(limits.balancer().interval, 1);
 }
--- a/crates/xds-supervisor/src/core/sasp.rs
+++ b/crates/xds-supervisor/src/core/sasp.rs
@@ -9,7 +9,7 @@
 use super::proxy::{Protocol, SentUpdate};
 use super::{Core, Peer, ShellCommand};
 use crate::endpoints::{MemberReport, Reporter};
-use crate::sasp_front::{BalancerView, SaspEvent};
+use crate::sasp_front::{BalancerView, IncompleteMessage, SaspEvent};
 
 impl Core {
     /// Handles a newly opened SASP connection.
@@ -17,8 +17,8 @@
         self.sasp.on_opened(peer);
     }
 
-    /// Handles bytes received on a SASP connection.
-    pub fn handle_sasp(&mut self, now: Nanos, peer: Peer, bytes: &[u8]) {
+    /// Handles bytes received on a SASP connection. Returns the incomplete message at their end.
+    pub fn handle_sasp(&mut self, now: Nanos, peer: Peer, bytes: &[u8]) -> IncompleteMessage {
         let proxy = self.proxies.values().find(|proxy| proxy.peer == peer);
         let published = proxy.map(|proxy| self.published_tables(&proxy.tables)).unwrap_or_default();
         let view = BalancerView {
@@ -32,6 +32,7 @@
         for event in self.sasp.on_bytes(peer, bytes, &view) {
             self.handle_sasp_event(now, peer, event);
         }
+        self.sasp.incomplete_message(peer)
     }
 
     fn handle_sasp_event(&mut self, now: Nanos, peer: Peer, event: SaspEvent) {
--- a/crates/xds-supervisor/src/daemon/calls.rs
+++ b/crates/xds-supervisor/src/daemon/calls.rs
@@ -21,7 +21,8 @@
             Input::Message { conn, stream, message } => self.on_message(CallId { conn, stream }, &message),
             Input::Bytes { conn, bytes } => {
                 if let Some(&peer) = self.balancer_peers.get(&conn) {
-                    self.core.handle_sasp(now(), peer, &bytes);
+                    let incomplete = self.core.handle_sasp(now(), peer, &bytes);
+                    self.hub.set_incomplete(conn, incomplete.bytes, incomplete.since);
                 }
             }
             Input::HalfClosed { conn, stream } => self.on_half_closed(CallId { conn, stream }),
--- a/crates/xds-supervisor/src/daemon/group.rs
+++ b/crates/xds-supervisor/src/daemon/group.rs
@@ -9,6 +9,7 @@
 use shalereel_rpc::Status;
 
 use super::{CallId, CallKind, Daemon, DaemonError};
+use crate::client_limits::MAX_MESSAGE_BYTES;
 use crate::core::Peer;
 use crate::group_member::{GroupCommand, GroupMember, GroupSettings};
 use crate::storage::{read_file, FileWriter, WriteRequest, GROUP_LOG_FILE};
@@ -123,8 +124,7 @@
         }
         if let Some(call) = self.member_streams.streams.get(&member) {
             // Guards against unbounded buffering for a member that does not read.
-            if self.hub.unsent_call_bytes(call.conn, call.stream) < self.limits.connection().max_message_bytes
-            {
+            if self.hub.unsent_call_bytes(call.conn, call.stream) < MAX_MESSAGE_BYTES {
                 self.hub.send(call.conn, call.stream, message);
             }
         }
--- a/crates/xds-supervisor/src/daemon/startup.rs
+++ b/crates/xds-supervisor/src/daemon/startup.rs
@@ -24,7 +24,7 @@
     ) -> Result<Self, DaemonError> {
         let stored_list = read_endpoint_list(&deployment.folder);
         let limits = ClientLimits::new(&deployment.config);
-        let mut hub = Hub::new(limits.connection())?;
+        let mut hub = Hub::new(limits.connection(deployment.max_held_bytes))?;
         hub.stop_on_signals()?;
         let addresses = listen(&mut hub, &deployment)?;
         let watches_registry = !deployment.config.polls_endpoints;
--- a/crates/xds-supervisor/src/deployment.rs
+++ b/crates/xds-supervisor/src/deployment.rs
@@ -14,6 +14,8 @@
 
 use shalereel::interface::{ControllerConfig, Nanos};
 
+use crate::client_limits::MAX_MESSAGE_BYTES;
+
 use checks::Checker;
 use file::DeploymentFile;
 
@@ -22,6 +24,13 @@
 pub use group::GroupDeployment;
 pub use table_history::TableHistoryLimits;
 
+/// Default memory for incomplete messages and unread bytes of all connections together, MB.
+const DEFAULT_CONNECTIONS_MB: f64 = 64.0;
+/// Least such memory, MB: a message of maximum size, whose buffer takes up to twice its content as it grows.
+const MIN_CONNECTIONS_MB: f64 = (2 * MAX_MESSAGE_BYTES) as f64 / BYTES_PER_MB;
+const MAX_CONNECTIONS_MB: f64 = 1e6;
+const BYTES_PER_MB: f64 = (1 << 20) as f64;
+
 /// Checked settings of a supervisor.
 #[derive(Clone, Debug)]
 pub struct Deployment {
@@ -33,6 +42,8 @@
     pub sasp_listen: Option<SocketAddr>,
     /// Address on which operators' requests about tables are served, if any.
     pub admin_listen: Option<SocketAddr>,
+    /// Maximum bytes of incomplete messages and of bytes that clients have not read, of all connections together.
+    pub max_held_bytes: usize,
     /// Folder of the stored files.
     pub folder: PathBuf,
     /// Minimum time between two batches of events, ns.
@@ -80,6 +91,9 @@
         check.supervisor_index(&settings)?;
         let operations = check.operations(&settings.operations)?;
         let config = check.controller_config(&settings, locality, operations)?;
+        let connections_mb = settings.connections_mb.unwrap_or(DEFAULT_CONNECTIONS_MB);
+        let range = MIN_CONNECTIONS_MB..=MAX_CONNECTIONS_MB;
+        let connections_mb = check.top_level().number("connections_mb", connections_mb, range)?;
         let table_history = check.table_history(&settings.table_history)?;
         let group = match &settings.group {
             Some(group) => Some(check.group(group, &settings, &config)?),
@@ -90,6 +104,7 @@
             registry: settings.registry,
             sasp_listen: settings.sasp.map(|section| section.listen),
             admin_listen: settings.admin.map(|section| section.listen),
+            max_held_bytes: (connections_mb * BYTES_PER_MB) as usize,
             folder: settings.folder,
             min_batch_interval: check.top_level().duration("tick_ms", settings.min_batch_interval_ms, 0.0)?,
             operations: settings.operations.into_iter().map(|operation| operation.name).collect(),
--- a/crates/xds-supervisor/src/deployment/file.rs
+++ b/crates/xds-supervisor/src/deployment/file.rs
@@ -27,6 +27,8 @@
     pub(super) operations: Vec<OperationSection>,
     #[serde(rename = "list")]
     pub(super) endpoint_list: EndpointListSection,
+    /// Memory for incomplete messages and for bytes that clients have not read, of all connections together, MB.
+    pub(super) connections_mb: Option<f64>,
     /// SASP listener, if any.
     pub(super) sasp: Option<ListenSection>,
     /// Group of supervisors, if this supervisor is a member of one.
--- a/crates/xds-supervisor/src/sasp_front.rs
+++ b/crates/xds-supervisor/src/sasp_front.rs
@@ -68,12 +68,28 @@
     /// Polling interval that balancers are told, s.
     interval: u16,
     frames: BTreeMap<Peer, Frames>,
+    /// When the incomplete message of each connection began.
+    incomplete_since: BTreeMap<Peer, Nanos>,
+}
+
+/// The incomplete message at the end of what a connection has sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct IncompleteMessage {
+    /// Bytes that are allocated for it.
+    pub bytes: usize,
+    /// When it began; `None` if there is none.
+    pub since: Option<Nanos>,
 }
 
 impl SaspFront {
     /// Creates the state without connections.
     pub fn new(bounds: BalancerLimits) -> Self {
-        SaspFront { advisor: Advisor::new(bounds), interval: bounds.interval, frames: BTreeMap::new() }
+        SaspFront {
+            advisor: Advisor::new(bounds),
+            interval: bounds.interval,
+            frames: BTreeMap::new(),
+            incomplete_since: BTreeMap::new(),
+        }
     }
 
     /// Handles a newly opened connection.
@@ -98,7 +114,10 @@
         frames.push(bytes);
         let mut events = Vec::new();
         let mut changes = Vec::new();
+        let began_before = self.incomplete_since.remove(&peer);
+        let mut completes_message = false;
         while let Some(next) = self.frames.get_mut(&peer).and_then(|frames| frames.take().transpose()) {
+            completes_message = true;
             match next {
                 Ok(message) => self.on_message(peer, message, view, &mut events, &mut changes),
                 Err(error) => {
@@ -107,10 +126,20 @@
                 }
             }
         }
+        if self.frames.get(&peer).is_some_and(|frames| !frames.is_empty()) {
+            let continues = began_before.filter(|_| !completes_message);
+            self.incomplete_since.insert(peer, continues.unwrap_or(view.now));
+        }
         events.extend(self.events_of(peer, changes));
         events
     }
 
+    /// The incomplete message of a connection.
+    pub fn incomplete_message(&self, peer: Peer) -> IncompleteMessage {
+        let bytes = self.frames.get(&peer).map_or(0, Frames::buffered_bytes);
+        IncompleteMessage { bytes, since: self.incomplete_since.get(&peer).copied() }
+    }
+
     fn on_message(
         &mut self,
         peer: Peer,
@@ -145,6 +174,7 @@
     /// All of these reports name [`Reporter::Member`], since the advisor no longer knows the peer as a balancer.
     pub fn on_closed(&mut self, peer: Peer) -> Vec<SaspEvent> {
         self.frames.remove(&peer);
+        self.incomplete_since.remove(&peer);
         let mut changes = Vec::new();
         self.advisor.closed(peer, &mut changes);
         self.events_of(peer, changes)
